--- /dev/null
+++ b/snowwick/config.py
@@ -0,0 +1,140 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+from crowgap.benchlink import settings_from
+from crowgap.interface import Settings
+from snowwick.net.pool import parse_address
+
+SOCKETS = 1024
+MESSAGE_AIM_MS = 100.0
+
+
+class BadConfig(Exception):
+    """The text names the faulty key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """What a balancer is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    settings: Settings
+    seed: int = 0
+    sockets: int = SOCKETS
+    groups: bool = False
+    message_aim_ms: float = MESSAGE_AIM_MS
+    known: dict[str, Any] = field(default_factory=dict)
+
+    def deadline_ms(self, class_name: str) -> float:
+        """How long a client of that class waits where its line does not say."""
+        classes = self.settings.classes
+        return next((one.deadline for one in classes if one.name == class_name), classes[0].deadline)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read GW_CONFIG's file, put the other variables over it, check everything."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise BadConfig("GW_CONFIG: not set; it names the JSON file with the configuration")
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadConfig(f"GW_CONFIG: cannot read {path}: {error}") from error
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        raise BadConfig(f"GW_CONFIG: {path} is not JSON: {error}") from error
+    if not isinstance(raw, dict):
+        raise BadConfig(f"GW_CONFIG: {path} must hold an object")
+    for variable, key in (("GW_NAME", "name"), ("GW_LISTEN", "listen"), ("GW_DISCOVERY", "discovery")):
+        if environment.get(variable):
+            raw[key] = environment[variable]
+    return check(raw)
+
+
+def check(raw: dict[str, Any]) -> Config:
+    """Check the configuration as one object."""
+    setup = _object(raw, "settings", required=True)
+    limits, family = _object(raw, "limits"), setup.get("familyInfo")
+    family = family if isinstance(family, dict) else {}
+    sockets = limits.get("sockets", SOCKETS)
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
+        raise BadConfig(f"limits.sockets: must be a whole number of at least 64, not {sockets!r}")
+    known = _object(raw, "known") or {"version": 0, "full": True, "servers": []}
+    if not isinstance(known.get("servers"), list):
+        raise BadConfig("known.servers: must be a list of servers")
+    aims = [aim for aim in family.get("messageAim") or [] if isinstance(aim, int | float) and aim > 0]
+    return Config(
+        name=_text(raw, "name", "balancer"),
+        listen=_address(raw, "listen"),
+        discovery=_address(raw, "discovery"),
+        settings=_settings(setup),
+        seed=_seed(raw.get("seed", 0)),
+        sockets=min(sockets, _own_limit(sockets)),
+        groups=bool(family.get("groups", False)),
+        message_aim_ms=float(min(aims, default=MESSAGE_AIM_MS)),
+        known=known,
+    )
+
+
+def _object(raw: dict[str, Any], key: str, required: bool = False) -> dict[str, Any]:
+    value = raw.get(key)
+    if value is None and not required:
+        return {}
+    if not isinstance(value, dict):
+        raise BadConfig(f"{key}: " + ("must be an object" if key in raw else "is missing"))
+    return value
+
+
+def _text(raw: dict[str, Any], key: str, default: str | None = None) -> str:
+    value = raw.get(key, default)
+    if not isinstance(value, str) or not value:
+        raise BadConfig(f"{key}: " + ("must be a text" if key in raw else "is missing"))
+    return value
+
+
+def _address(raw: dict[str, Any], key: str) -> tuple[str, int]:
+    try:
+        return parse_address(_text(raw, key))
+    except ValueError as error:
+        raise BadConfig(f"{key}: {error}") from error
+
+
+def _settings(setup: dict[str, Any]) -> Settings:
+    try:
+        return settings_from(setup)
+    except KeyError as error:
+        raise BadConfig(f"settings: missing field or unknown name {error}") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise BadConfig(f"settings: {error}") from error
+
+
+def _seed(value: Any) -> int:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    if not isinstance(value, str):
+        raise BadConfig(f"seed: must be a text or a whole number, not {value!r}")
+    return int.from_bytes(blake2b(value.encode(), digest_size=8).digest(), "big")
+
+
+def _own_limit(wanted: int) -> int:
+    """Descriptors that the system grants this process, raised to what is wanted where it may be."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return wanted
+    if soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    return soft
--- /dev/null
+++ b/snowwick/net/decider.py
@@ -0,0 +1,207 @@
+"""The decision module's actor: what peers and the pool config report goes in, what to do comes out.
+
+It knows no wire: it speaks to a client's side through ``Client`` and to the pool config through a callback,
+so that another protocol can stand before the same decisions.  Here, and only here, the network code's names
+become the module's: a destination is a backend, a route step an attempt, a busy reply a refusal.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from crowgap import interface as i
+from crowgap.policy import Balancer
+from snowwick.net.loop import Actor, Loop, Steps, Wait
+
+Outcome = i.Outcome
+PoolNews = i.ListUpdate
+PoolEntry = i.BackendEntry
+
+
+class Client(Protocol):
+    """The side of a client, as the decider sees it: somewhere to leave a message."""
+
+    def post(self, message: object) -> None: ...
+
+
+@dataclass(slots=True)
+class Arrived:
+    """A client asks for a connection; ``patience`` is how many ms it waits for the answer."""
+
+    client: Client
+    class_name: str
+    patience: float
+    key: str
+    group: str
+    tenant: str
+
+
+@dataclass(slots=True)
+class Kept:
+    """A client's connection stood at that destination before this program started."""
+
+    client: Client
+    class_name: str
+    destination: int
+    key: str
+    group: str
+    tenant: str
+
+
+@dataclass(slots=True)
+class StepUp:
+    """The route step's connection stands."""
+
+    client: Client
+    destination: int
+    elapsed: float
+
+
+@dataclass(slots=True)
+class StepEnded:
+    """The route step is over; ``final`` says that the client needs no more answer."""
+
+    client: Client
+    destination: int
+    outcome: Outcome
+    elapsed: float
+    final: bool
+
+
+@dataclass(slots=True)
+class Left:
+    """The client left before its answer; a route step that is out still ends."""
+
+    client: Client
+    step_out: bool
+
+
+@dataclass(slots=True)
+class Slow:
+    """How many ms a message takes at a destination now, seen on that client's connection."""
+
+    client: Client
+    destination: int
+    delay: float
+
+
+@dataclass(slots=True)
+class RouteStep:
+    """To the client's side: try that destination, for so many ms."""
+
+    destination: int
+    wait: float
+
+
+@dataclass(slots=True)
+class BusyReply:
+    """To the client's side: refused, come again after so many ms."""
+
+    retry_after: float
+
+
+@dataclass(slots=True)
+class FailReply:
+    """To the client's side: failed."""
+
+
+@dataclass(slots=True)
+class MoveAway:
+    """To the client's side: have the client come again."""
+
+    reason: str
+
+
+class Decider(Actor):
+    """Feeds the module one event at a time on one clock and carries out what it answers."""
+
+    def __init__(self, loop: Loop, settings: i.Settings, seed: int, now_ms: Callable[[], float],
+                 watch_pool: Callable[[], None]) -> None:
+        super().__init__(loop)
+        self.balancer = Balancer(settings, seed)
+        self.now_ms, self.watch_pool = now_ms, watch_pool
+        self.alarms: list[tuple[float, int]] = []
+        self.numbers: dict[Client, int] = {}
+        self.clients: dict[int, Client] = {}
+        self.steps_made: dict[int, int] = {}
+        self.last = 0
+
+    def run(self) -> Steps:
+        while True:
+            until = None
+            if self.alarms:
+                until = self.loop.clock() + max(0.0, self.alarms[0][0] - self.now_ms()) / 1000.0
+            yield Wait(until=until)
+            for message in self.take():
+                event = self._translate(message)
+                if event is not None:
+                    self._handle(event)
+            while self.alarms and self.alarms[0][0] <= self.now_ms():
+                self._handle(i.TimerDue(heapq.heappop(self.alarms)[1]))
+
+    def _translate(self, m: object) -> i.Event | None:
+        if isinstance(m, PoolNews):
+            return m
+        if isinstance(m, Arrived):
+            return i.Request(self._number(m.client, 0), m.class_name, m.patience, m.key, m.group, m.tenant)
+        if isinstance(m, Kept):
+            return i.Carried(self._number(m.client, 1), m.class_name, m.destination, m.key, m.group, m.tenant)
+        assert isinstance(m, StepUp | StepEnded | Left | Slow)
+        number = self.numbers.get(m.client)
+        if number is None:
+            return None
+        step = self.steps_made[number] - 1
+        if isinstance(m, StepUp):
+            return i.Established(number, step, m.destination, m.elapsed)
+        if isinstance(m, StepEnded):
+            if m.final:
+                self._drop(number)
+            return i.Ended(number, step, m.destination, m.outcome, m.elapsed, m.final)
+        if isinstance(m, Slow):
+            return i.DelayNote(number, m.destination, m.delay)
+        if not m.step_out:
+            self._drop(number)
+        return i.Gone(number)
+
+    def _number(self, client: Client, steps: int) -> int:
+        self.last += 1
+        self.numbers[client], self.clients[self.last], self.steps_made[self.last] = self.last, client, steps
+        return self.last
+
+    def _drop(self, number: int) -> None:
+        client = self.clients.pop(number, None)
+        if client is not None:
+            del self.numbers[client], self.steps_made[number]
+
+    def _handle(self, event: i.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.now_ms(), event)
+        except Exception as error:
+            # The module must not take all standing connections with it; unanswered requests run into
+            # the client side's own time limit.
+            self.loop.log.line(f"fault: decision on {type(event).__name__}: {type(error).__name__}: {error}")
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        if isinstance(action, i.SetTimer):
+            heapq.heappush(self.alarms, (action.at, action.token))
+            return
+        if isinstance(action, i.Subscribe):
+            self.watch_pool()
+            return
+        client = self.clients.get(action.request)
+        if client is None:
+            return
+        if isinstance(action, i.Send):
+            self.steps_made[action.request] += 1
+            client.post(RouteStep(action.backend, action.timeout))
+        elif isinstance(action, i.Move):
+            client.post(MoveAway("moved"))
+        else:
+            self._drop(action.request)
+            client.post(BusyReply(action.retry_after) if isinstance(action, i.Refuse) else FailReply())
--- /dev/null
+++ b/snowwick/net/destination.py
@@ -0,0 +1,156 @@
+"""One connection to a destination: the route step that sets it up, then its side of the relay."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Generator
+from dataclasses import dataclass
+
+from snowwick.net import lines
+from snowwick.net.decider import MoveAway, Outcome
+from snowwick.net.gauge import Gauge, Meter
+from snowwick.net.lines import Reply
+from snowwick.net.loop import READ, TIME, Loop, Steps, Wait
+from snowwick.net.peer import End, LinePeer, Lines, connect, prepare
+
+SILENT = 5.5  # s without a line back after which a client is moved: the protocol allows seven
+UNANSWERED = 3.0  # s that a line must have waited before silence counts
+ENDINGS = {Reply.BYE: Outcome.OK, Reply.MOVE: Outcome.CANCELLED}  # of what stands, by its last line
+ANSWERS = {**ENDINGS, Reply.BUSY: Outcome.FULL}
+
+
+@dataclass(slots=True)
+class Up:
+    """To the front: the connection stands; ``line`` is what the destination said."""
+
+    line: bytes
+    elapsed: float
+
+
+@dataclass(slots=True)
+class Over:
+    """To the front: the route step, or the connection it became, has ended at the destination."""
+
+    outcome: Outcome
+    elapsed: float
+
+
+class Destination(LinePeer):
+    """The destination's side of one client's connection."""
+
+    def __init__(self, loop: Loop, front: LinePeer, number: int, address: tuple[str, int], opening: bytes,
+                 wait: float, connect_wait: float, gauge: Gauge) -> None:
+        super().__init__(loop, prepare(socket.socket(socket.AF_INET, socket.SOCK_STREAM)))
+        self.front, self.number, self.address, self.opening = front, number, address, opening
+        self.gauge, self.meter = gauge, Meter(front, number)
+        self.began = loop.clock()
+        self.until = self.began + wait
+        self.connect_until = min(self.until, self.began + connect_wait)
+        self.last = Reply.OTHER  # what the last line from the destination was
+        self.told = False
+
+    def run(self) -> Steps:
+        outcome: Outcome | None = Outcome.RESET
+        try:
+            outcome = yield from self._set_up()
+            if outcome is None:
+                outcome = Outcome.RESET
+                self.other = self.front
+                yield from self.relay()
+        except (OSError, lines.Garbled):
+            self.read_done = True
+            self.tell(End(reset=True))
+        finally:
+            self.gauge.remove(self.meter)
+            # Closed before the front hears of it: the next route step must not find this one still out.
+            self.shut()
+            self._over(outcome or Outcome.RESET)
+
+    def _elapsed(self) -> float:
+        return 1000.0 * (self.loop.clock() - self.began)
+
+    def _over(self, outcome: Outcome) -> None:
+        if not self.told:
+            self.told = True
+            self.front.post(Over(outcome, self._elapsed()))
+
+    def _set_up(self) -> Generator[Wait, int, Outcome | None]:
+        """Connect, send the opening line, take the answer; None once the connection stands."""
+        try:
+            yield from self._send_opening()
+        except OSError:
+            return Outcome.CONNECT_FAILED  # its last byte was never written, so it never ran
+        if self.mail:
+            return Outcome.CANCELLED
+        if self.out:
+            return Outcome.CONNECT_FAILED
+        while True:
+            woke = yield Wait(self.sock, read=True, until=self.until)
+            if self.mail:
+                return Outcome.CANCELLED
+            if woke & READ:
+                try:
+                    going = self.receive()
+                except OSError:
+                    return Outcome.RESET
+                while (line := lines.cut_one(self.inbox)) is not None:
+                    said = lines.reply(line)
+                    if said is Reply.UP:
+                        self._stands(line)
+                        return None
+                    if said is not Reply.LOAD:
+                        return ANSWERS.get(said, Outcome.ERROR)
+                if not going:
+                    return Outcome.RESET
+            if woke & TIME:
+                return Outcome.TIMEOUT
+
+    def _send_opening(self) -> Steps:
+        """Returns with ``out`` not empty where the time ran out."""
+        self.out += self.opening
+        if not (yield from connect(self, self.sock, self.address, self.connect_until)):
+            return
+        self.flush()
+        while self.out and not self.mail:
+            woke = yield Wait(self.sock, write=True, until=self.until)
+            if woke & TIME:
+                return
+            self.flush()
+
+    def _stands(self, line: bytes) -> None:
+        self.front.post(Up(line, self._elapsed()))
+        self.meter = self.gauge.add(self.front, self.number)
+        rest = lines.cut(self.inbox)
+        if rest:
+            self.saw(rest)
+            self.front.post(Lines(rest))
+
+    def saw(self, data: bytes) -> None:
+        now = self.loop.clock()
+        for line in data.splitlines(keepends=True):
+            self.last = lines.reply(line)
+            if self.last is not Reply.LOAD:
+                self.meter.answered(now)
+
+    def on_mail(self, message: object) -> None:
+        if isinstance(message, Lines):
+            self.meter.sent(self.loop.clock(), message.data.count(b"\n"))
+        elif isinstance(message, End):
+            self._over(Outcome.CANCELLED)
+        super().on_mail(message)
+
+    def ended_first(self) -> None:
+        self._over(ENDINGS.get(self.last, Outcome.RESET))
+
+    def due(self) -> float | None:
+        if self.grace is not None or not self.meter.asked:
+            return self.grace
+        return max(self.meter.heard + SILENT, self.meter.asked[0] + UNANSWERED)
+
+    def timed_out(self) -> bool:
+        """Guards against a destination that hangs or vanished: its connection stays open and says nothing."""
+        if self.grace is not None:
+            return False
+        self.meter.asked.clear()  # asked once is enough; the front ends both sides
+        self.front.post(MoveAway("silent"))
+        return True
--- /dev/null
+++ b/snowwick/net/front.py
@@ -0,0 +1,221 @@
+"""The client's side: the front socket's first line, its one answer, then its side of the relay."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Generator
+from typing import TYPE_CHECKING
+
+from snowwick.net import lines
+from snowwick.net.decider import (
+    Arrived,
+    BusyReply,
+    FailReply,
+    Kept,
+    Left,
+    MoveAway,
+    Outcome,
+    RouteStep,
+    StepEnded,
+    StepUp,
+)
+from snowwick.net.destination import Destination, Over, Up
+from snowwick.net.loop import READ, TIME, Steps, Wait
+from snowwick.net.peer import End, LinePeer, Lines, prepare
+
+if TYPE_CHECKING:
+    from snowwick.net.service import Service
+
+FIRST_LINE = 10.0  # s that a front socket may stay without an opening line
+MARGIN = 20.0  # ms taken off the client's patience, so that the answer is there in time
+
+
+class Front(LinePeer):
+    """One client's connection."""
+
+    def __init__(self, service: Service, sock: socket.socket) -> None:
+        super().__init__(service.loop, prepare(sock))
+        self.service, self.reason = service, "fault"
+        self.opening: lines.Opening | None = None
+        self.step: Destination | None = None
+        self.asked = self.up = False
+        self.number = -1
+        self.began = self.until = self.loop.clock()
+
+    def run(self) -> Steps:
+        try:
+            yield from self._serve()
+        except OSError:
+            self.reason = "front-reset"
+            self.tell(End(reset=True))
+        except lines.Garbled as error:
+            self.reason = f"garbled ({error})"
+            yield from self._answer(lines.ERR)
+        finally:
+            self._leave()
+            self.shut()
+            self.service.ended(self)
+
+    def _leave(self) -> None:
+        """Whatever ended this side, the decider and the step hear of it."""
+        if self.asked and not self.up:
+            self.service.decider.post(Left(self, self.step is not None))
+        if self.step is not None:
+            self.step.post(End())
+            self._step_over(Outcome.CANCELLED, 0.0, final=True)
+
+    def _serve(self) -> Steps:
+        opening = yield from self._first_line()
+        if opening is None:
+            return
+        self.opening = opening
+        if self.service.draining or self.service.short_of_sockets():
+            self.reason = "draining" if self.service.draining else "no-sockets"
+            yield from self._answer(lines.busy(self.service.come_again_ms()))
+            return
+        self._ask(opening)
+        answer = yield from self._await_answer()
+        if answer is not None:
+            yield from self._answer(answer)
+        if self.up:
+            if self.service.draining:
+                self.post(MoveAway("draining"))
+            yield from self.relay()
+
+    def _first_line(self) -> Generator[Wait, int, lines.Opening | None]:
+        until = self.loop.clock() + FIRST_LINE
+        self.reason = "no-opening"
+        while True:
+            woke = yield Wait(self.sock, read=True, write=bool(self.out), until=until)
+            if woke & TIME:
+                return None
+            going = self.receive() if woke & READ else True
+            while (line := lines.cut_one(self.inbox)) is not None:
+                word = line.rstrip(b"\r\n")
+                if word == lines.PING:
+                    self.reason = "ping"
+                    self.out += lines.PONG
+                elif word == b"STATS":
+                    self.out += lines.NO
+                else:
+                    return lines.parse_opening(line)
+            self.flush()
+            if not going:
+                return None
+            self.mail.clear()
+
+    def _ask(self, opening: lines.Opening) -> None:
+        values, config = opening.values, self.service.config
+        name, tenant = values.get("c", ""), values.get("t", "")
+        group = values.get("g", "") if config.groups else ""
+        wait = opening.wait_ms if opening.wait_ms is not None else config.deadline_ms(name)
+        self.began = self.loop.clock()
+        self.until = self.began + wait / 1000.0
+        if "at" in values:
+            self._take_step(self.service.pool.number(values["at"]), wait)
+        else:
+            self.asked = True
+            self.service.decider.post(
+                Arrived(self, name, max(0.0, wait - MARGIN), opening.key, group, tenant))
+
+    def _await_answer(self) -> Generator[Wait, int, bytes | None]:
+        """Wait for the one final answer, making the route steps that the decider asks for."""
+        while True:
+            woke = yield Wait(self.sock, read=len(self.inbox) < lines.MAX_LINE, until=self.until)
+            for message in self.take():
+                if isinstance(message, RouteStep):
+                    left = wait_left(self)
+                    self._take_step(message.destination, min(message.wait or left, left))
+                elif isinstance(message, Up):
+                    self._stand(message)
+                    return None
+                elif isinstance(message, Over):
+                    self.step = None
+                    if not self.asked:
+                        self.reason = f"kept-{message.outcome.value}"
+                        return lines.ERR
+                    self._step_over(message.outcome, message.elapsed, final=False)
+                elif isinstance(message, BusyReply):
+                    self.asked, self.reason = False, "busy"
+                    return lines.busy(message.retry_after)
+                elif isinstance(message, FailReply):
+                    self.asked, self.reason = False, "failed"
+                    return lines.ERR
+            if woke & READ and not self.receive():
+                self.reason = "left"
+                return None
+            if woke & TIME:
+                # The decider answers before this; a fault in it must not leave the client without.
+                self.reason = "overdue"
+                return lines.ERR
+
+    def _take_step(self, destination: int, wait_ms: float) -> None:
+        service = self.service
+        assert self.opening is not None
+        address = service.pool.address(destination)
+        if address is None or wait_ms <= 0:
+            outcome = Outcome.CONNECT_FAILED if address is None else Outcome.UNSENT
+            if self.asked:
+                service.decider.post(StepEnded(self, destination, outcome, 0.0, False))
+            else:
+                self.post(Over(outcome, 0.0))
+            return
+        self.number = destination
+        self.step = Destination(self.loop, self, destination, address,
+                                lines.with_wait(self.opening.line, wait_ms), wait_ms / 1000.0,
+                                service.config.settings.connect_timeout / 1000.0, service.gauge)
+        self.step.start()
+
+    def _stand(self, message: Up) -> None:
+        assert self.opening is not None
+        self.up, self.other, self.reason = True, self.step, "client-ended"
+        self.out += message.line
+        if self.asked:
+            self.service.decider.post(StepUp(self, self.number, message.elapsed))
+        else:
+            values, group = self.opening.values, self.opening.values.get("g", "")
+            self.service.decider.post(Kept(
+                self, values.get("c", ""), self.number, self.opening.key,
+                group if self.service.config.groups else "", values.get("t", "")))
+        rest = lines.cut(self.inbox)
+        if rest:
+            self.tell(Lines(rest))
+        self.flush()
+
+    def _step_over(self, outcome: Outcome, elapsed: float, final: bool) -> None:
+        self.step = None
+        if self.asked or self.up:
+            self.service.decider.post(StepEnded(self, self.number, outcome, elapsed, final))
+
+    def _answer(self, line: bytes) -> Steps:
+        """Send the final answer and end the connection; what the client still sends is passed over."""
+        self._leave()
+        self.asked = False
+        self.out += line
+        self.closing, self.other = True, None
+        self.start_grace()
+        try:
+            self.flush()
+            yield from self.relay()
+        except (OSError, lines.Garbled):
+            pass  # answered; the client may have gone meanwhile
+
+    def on_mail(self, message: object) -> None:
+        if isinstance(message, MoveAway):
+            if not self.closing:
+                self.reason, self.closing = message.reason, True
+                self.out += lines.MOVE  # `out` holds whole lines only
+                self.tell(End())
+                self.start_grace()
+        elif isinstance(message, Over):
+            if self.step is not None:
+                if not self.closing and not self.read_done:
+                    self.reason = f"destination-{message.outcome.value}"
+                self._step_over(message.outcome, message.elapsed, final=True)
+        else:
+            super().on_mail(message)
+
+
+def wait_left(front: Front) -> float:
+    """Ms until the client gives up."""
+    return 1000.0 * (front.until - front.loop.clock())
--- /dev/null
+++ b/snowwick/net/loop.py
@@ -0,0 +1,168 @@
+"""One thread: epoll for sockets, the library's scheduler for timers, generators as coroutines.
+
+An actor is a generator with a mailbox.  It yields a ``Wait`` and is resumed with flags that say what came:
+its socket is readable or writable, there is mail, or the time is up.  Each wait has one timer event of its
+own, cancelled when the wait ends.
+"""
+
+from __future__ import annotations
+
+import sched
+import select
+import socket
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from typing import Any
+
+from snowwick.log import Log
+
+READ, WRITE, MAIL, TIME = 1, 2, 4, 8
+
+
+@dataclass(slots=True)
+class Wait:
+    """What an actor waits for, besides its mail; ``until`` is on the loop's clock, in seconds."""
+
+    sock: socket.socket | None = None
+    read: bool = False
+    write: bool = False
+    until: float | None = None
+
+
+Steps = Generator[Wait, int, None]
+
+
+class Actor:
+    """A coroutine with a mailbox.  It owns at most one socket at a time."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.mail: deque[Any] = deque()
+        self.steps: Steps | None = None
+        self.timer: sched.Event | None = None
+        self.fresh, self.waiting, self.woke = True, False, 0
+        self.fd, self.mask = -1, 0
+
+    def run(self) -> Steps:
+        raise NotImplementedError
+
+    def start(self) -> None:
+        self.steps = self.run()
+        self.loop.ready.append(self)
+
+    def post(self, message: object) -> None:
+        """Leave a message; an actor that has ended takes no more."""
+        if self.steps is not None:
+            self.mail.append(message)
+            self.loop.wake(self, MAIL)
+
+    def take(self) -> Generator[Any, None, None]:
+        """The messages in the mailbox, oldest first."""
+        while self.mail:
+            yield self.mail.popleft()
+
+
+class Loop:
+    """Runs actors until there are none left or ``stop`` is called."""
+
+    def __init__(self, log: Log | None = None, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock, self.log = clock, log or Log()
+        self.timers = sched.scheduler(clock, lambda _: None)
+        self.epoll = select.epoll()
+        self.owners: dict[int, Actor] = {}
+        self.ready: deque[Actor] = deque()
+        self.stopped = False
+
+    def run(self) -> None:
+        while not self.stopped:
+            self.turn()
+
+    def stop(self) -> None:
+        self.stopped = True
+
+    def turn(self, longest: float | None = None) -> None:
+        """Wait for what comes first, ``longest`` seconds at most, and resume the actors that it concerns."""
+        delay = self.timers.run(blocking=False)
+        waits = [w for w in (0.0 if self.ready else None, delay, longest) if w is not None]
+        for fd, events in self.epoll.poll(min(waits) if waits else None):
+            actor = self.owners.get(fd)
+            if actor is not None:
+                broken = events & (select.EPOLLHUP | select.EPOLLERR)
+                self.wake(actor, (READ if events & select.EPOLLIN or broken else 0)
+                          | (WRITE if events & select.EPOLLOUT or broken else 0))
+        self.timers.run(blocking=False)
+        for _ in range(len(self.ready)):
+            self._resume(self.ready.popleft())
+
+    def wake(self, actor: Actor, why: int) -> None:
+        actor.woke |= why
+        if actor.waiting:
+            actor.waiting = False
+            if actor.timer is not None:
+                if why != TIME:
+                    self.timers.cancel(actor.timer)
+                actor.timer = None
+            self.ready.append(actor)
+
+    def _resume(self, actor: Actor) -> None:
+        if actor.steps is None:
+            return
+        why, actor.woke = actor.woke, 0
+        try:
+            fresh, actor.fresh = actor.fresh, False
+            wait = next(actor.steps) if fresh else actor.steps.send(why)
+        except StopIteration:
+            self._forget(actor)
+            return
+        except Exception:
+            # One peer's fault must not end the connections of all the others.
+            self.log.line(f"fault: {type(actor).__name__}: {traceback.format_exc(limit=-4)}")
+            self._forget(actor)
+            return
+        self._park(actor, wait)
+
+    def _park(self, actor: Actor, wait: Wait) -> None:
+        fd = wait.sock.fileno() if wait.sock is not None else -1
+        mask = (select.EPOLLIN if wait.read else 0) | (select.EPOLLOUT if wait.write else 0)
+        self._watch(actor, fd, mask if fd >= 0 else 0)
+        actor.waiting = True
+        if actor.mail:
+            self.wake(actor, MAIL)
+        elif wait.until is not None:
+            actor.timer = self.timers.enterabs(wait.until, 0, self.wake, (actor, TIME))
+
+    def _watch(self, actor: Actor, fd: int, mask: int) -> None:
+        """Tell epoll what the actor waits for.
+
+        Without interest the socket is taken out: epoll reports a hang-up even where nothing is asked for,
+        and a paused peer that resets would then keep the loop spinning.
+        """
+        if actor.fd != fd or not mask:
+            self.release(actor)
+        if not mask:
+            return
+        if actor.fd < 0:
+            self.epoll.register(fd, mask)
+            self.owners[fd] = actor
+            actor.fd = fd
+        elif actor.mask != mask:
+            self.epoll.modify(fd, mask)
+        actor.mask = mask
+
+    def release(self, actor: Actor) -> None:
+        """Take the actor's socket out of epoll; needed before the socket is closed."""
+        if actor.fd >= 0:
+            self.epoll.unregister(actor.fd)
+            del self.owners[actor.fd]
+            actor.fd, actor.mask = -1, 0
+
+    def _forget(self, actor: Actor) -> None:
+        self.release(actor)
+        actor.steps = None
+        actor.mail.clear()
+
+    def close(self) -> None:
+        self.epoll.close()
--- /dev/null
+++ b/snowwick/net/service.py
@@ -0,0 +1,154 @@
+"""The running balancer: its actors, the listening socket, and the way it ends."""
+
+from __future__ import annotations
+
+import random
+import signal
+import socket
+import time
+
+from crowgap.interface import ListKind
+from snowwick.config import Config
+from snowwick.log import Log
+from snowwick.net.decider import Decider, MoveAway
+from snowwick.net.front import Front
+from snowwick.net.gauge import Gauge
+from snowwick.net.loop import Actor, Loop, Steps, Wait
+from snowwick.net.pool import CallFailed, Pool, WatchPool
+
+BACKLOG = 1024
+OWN_SOCKETS = 24  # kept for the program itself and for answering clients who get a busy reply
+PAUSE = 0.05  # s without accepting after accept has failed or sockets have run out
+STILL_COMING = 0.5  # s after SIGTERM in which new connections are answered
+LONGEST, AFTER = 3.0, 0.4  # s: patience counts up to that much at the end, and what is allowed beyond
+
+
+class Acceptor(Actor):
+    """Takes connections off the listening socket."""
+
+    def __init__(self, service: Service, sock: socket.socket) -> None:
+        super().__init__(service.loop)
+        self.service, self.sock = service, sock
+
+    def run(self) -> Steps:
+        while True:
+            yield Wait(self.sock, read=True)
+            while self.service.room_to_accept():
+                try:
+                    sock, _ = self.sock.accept()
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    self.loop.log.line(f"accept: {error}")
+                    yield from self._pause()
+                    break
+                self.service.welcome(sock)
+            else:
+                yield from self._pause()
+
+    def _pause(self) -> Steps:
+        """Guards against spinning: after a failed accept the listening socket is still readable."""
+        until = self.loop.clock() + PAUSE
+        while self.loop.clock() < until:
+            yield Wait(until=until)
+
+
+class Signals(Actor):
+    """Turns SIGTERM and SIGINT into the orderly end."""
+
+    def __init__(self, service: Service, sock: socket.socket) -> None:
+        super().__init__(service.loop)
+        self.service, self.sock = service, sock
+
+    def run(self) -> Steps:
+        yield Wait(self.sock, read=True)
+        yield from self.service.drain()
+        self.loop.stop()
+
+
+class Service:
+    """One balancer."""
+
+    def __init__(self, config: Config, loop: Loop | None = None) -> None:
+        self.config = config
+        self.loop = loop or Loop(Log())
+        self.log = self.loop.log
+        self.random = random.Random(config.seed)
+        self.fronts: set[Front] = set()
+        self.draining = False
+        self.offset_ms = 1000.0 * (time.time() - self.loop.clock())
+        self.decider = Decider(self.loop, config.settings, config.seed, self.now_ms,
+                               lambda: self.pool.post(WatchPool()))
+        self.pool = Pool(self.loop, config.discovery, self.decider.post)
+        self.gauge = Gauge(self.loop, self.decider, config.message_aim_ms)
+
+    def now_ms(self) -> float:
+        """Unix time in ms that never steps back: discovery's start times are on the same clock."""
+        return self.offset_ms + 1000.0 * self.loop.clock()
+
+    def start(self) -> None:
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(self.config.listen)
+        self.listener.listen(BACKLOG)
+        for actor in (self.decider, self.pool, self.gauge):
+            actor.start()
+        try:
+            self.decider.post(self.pool.config.take(self.config.known, ListKind.REMEMBERED))
+        except CallFailed as error:
+            self.log.line(f"known: {error}")
+        Acceptor(self, self.listener).start()
+
+    def serve(self) -> None:
+        """Run until a signal ends it."""
+        inner, outer = socket.socketpair()
+        for end in (inner, outer):
+            end.setblocking(False)
+        signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        Signals(self, inner).start()
+        self.start()
+        self.log.line(f"{self.config.name}: serving on {self.config.listen[0]}:{self.config.listen[1]}")
+        self.loop.run()
+
+    def drain(self) -> Steps:
+        """Answer whoever still comes, have every client move, leave once all have gone."""
+        began = self.loop.clock()
+        longest = max([one.deadline for one in self.config.settings.classes]) / 1000.0
+        last = began + min(longest, LONGEST) + AFTER
+        self.draining = True
+        self.log.line(f"{self.config.name}: ending, {len(self.fronts)} connections")
+        for front in self.fronts:
+            front.post(MoveAway("draining"))
+        while self.loop.clock() < last:
+            if not self.fronts and self.loop.clock() > began + STILL_COMING:
+                break
+            yield Wait(until=min(last, self.loop.clock() + PAUSE))
+
+    def welcome(self, sock: socket.socket) -> None:
+        front = Front(self, sock)
+        self.fronts.add(front)
+        front.start()
+
+    def ended(self, front: Front) -> None:
+        self.fronts.discard(front)
+        if front.reason == "ping":
+            return
+        opening = front.opening
+        self.log.line(f"{opening.id if opening else '-'} {front.reason} "
+                      f"{self.loop.clock() - front.began:.3f}s to={front.number}")
+
+    def sockets_used(self) -> int:
+        return sum(1 if front.step is None else 2 for front in self.fronts)
+
+    def short_of_sockets(self) -> bool:
+        return self.sockets_used() + 1 > self.config.sockets - OWN_SOCKETS
+
+    def room_to_accept(self) -> bool:
+        return self.sockets_used() < self.config.sockets - OWN_SOCKETS // 2
+
+    def come_again_ms(self) -> float:
+        """When a client that gets a busy reply without a decision should return: spread, not in step."""
+        return self.config.settings.max_retry_after * (0.5 + 0.5 * self.random.random())
