--- /dev/null
+++ b/example/toy_server.py
@@ -0,0 +1,78 @@
+"""A toy to try the balancer with: destinations that echo lines, and a discovery that lists them.
+
+    python example/toy_server.py [--discovery HOST:PORT] [--destinations N]
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import socketserver
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+
+class Destination(socketserver.StreamRequestHandler):
+    """Answers the opening line with UP, echoes what follows, says BYE to ``bye``."""
+
+    def handle(self) -> None:
+        me = f"s-{self.server.server_address[1]}"
+        opening = self.rfile.readline(4096)
+        if not opening.startswith(b"OPEN "):
+            return
+        print(f"{me}: {opening.decode().strip()}", flush=True)
+        self.wfile.write(f"UP {me}\r\n".encode())
+        while line := self.rfile.readline(4096):
+            if line.strip() == b"bye":
+                self.wfile.write(b"BYE\r\n")
+                return
+            self.wfile.write(line)
+
+
+class Server(socketserver.ThreadingTCPServer):
+    allow_reuse_address = daemon_threads = True
+
+
+class Discovery(BaseHTTPRequestHandler):
+    """The whole list to whoever has none, and no news to whoever watches."""
+
+    protocol_version = "HTTP/1.1"
+    servers: tuple[dict[str, object], ...] = ()
+
+    def do_GET(self) -> None:
+        asked = parse_qs(urlparse(self.path).query)
+        fresh = asked.get("after", ["0"])[0] == "0"
+        if not fresh:
+            time.sleep(min(60.0, float(asked.get("wait_ms", ["0"])[0]) / 1000.0))
+        body = json.dumps({"version": 1, "full": fresh, "servers": self.servers if fresh else []}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="Echoing destinations, and a discovery that lists them.")
+    parser.add_argument("--discovery", default="127.0.0.1:8500")
+    parser.add_argument("--destinations", type=int, default=3)
+    options = parser.parse_args()
+    listed = []
+    for _ in range(options.destinations):
+        server = Server(("127.0.0.1", 0), Destination)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        port = server.server_address[1]
+        listed.append({"id": f"s-{port}", "addr": f"127.0.0.1:{port}", "state": "in_service"})
+    Discovery.servers = tuple(listed)
+    host, _, port = options.discovery.rpartition(":")
+    web = ThreadingHTTPServer((host, int(port)), Discovery)
+    print(f"discovery on {host}:{port}, destinations {[one['addr'] for one in listed]}", flush=True)
+    web.serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -127,6 +127,8 @@
 class Decider(Actor):
     """Feeds the module one event at a time on one clock and carries out what it answers."""
 
+    lasting = True
+
     def __init__(self, loop: Loop, settings: i.Settings, seed: int, now_ms: Callable[[], float],
                  watch_pool: Callable[[], None]) -> None:
         super().__init__(loop)
--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -36,7 +36,7 @@
 
     def __init__(self, service: Service, sock: socket.socket) -> None:
         super().__init__(service.loop, prepare(sock))
-        self.service, self.reason = service, "fault"
+        self.service, self.reason, self.detail = service, "fault", ""
         self.opening: lines.Opening | None = None
         self.step: Destination | None = None
         self.asked = self.up = False
@@ -50,7 +50,7 @@
             self.reason = "front-reset"
             self.tell(End(reset=True))
         except lines.Garbled as error:
-            self.reason = f"garbled ({error})"
+            self.reason, self.detail = "garbled", str(error)
             yield from self._answer(lines.ERR)
         finally:
             self._leave()
@@ -153,18 +153,20 @@
     def _take_step(self, destination: int, wait_ms: float) -> None:
         service = self.service
         assert self.opening is not None
+        self.number = destination
         address = service.pool.address(destination)
         if address is None or wait_ms <= 0:
-            outcome = Outcome.CONNECT_FAILED if address is None else Outcome.UNSENT
-            if self.asked:
-                service.decider.post(StepEnded(self, destination, outcome, 0.0, False))
-            else:
-                self.post(Over(outcome, 0.0))
+            self.post(Over(Outcome.CONNECT_FAILED if address is None else Outcome.UNSENT, 0.0))
+            return
+        try:
+            self.step = Destination(self.loop, self, destination, address,
+                                    lines.with_wait(self.opening.line, wait_ms), wait_ms / 1000.0,
+                                    service.config.settings.connect_timeout / 1000.0, service.gauge)
+        except OSError as error:
+            # No descriptor for it: the client is still owed its one answer.
+            self.loop.log.line(f"route step: {error}")
+            self.post(Over(Outcome.CONNECT_FAILED, 0.0))
             return
-        self.number = destination
-        self.step = Destination(self.loop, self, destination, address,
-                                lines.with_wait(self.opening.line, wait_ms), wait_ms / 1000.0,
-                                service.config.settings.connect_timeout / 1000.0, service.gauge)
         self.step.start()
 
     def _stand(self, message: Up) -> None:
--- a/snowwick/net/gauge.py
+++ b/snowwick/net/gauge.py
@@ -30,18 +30,28 @@
         if self.asked:
             self.took = now - self.asked.popleft()
 
-    def delay(self, now: float) -> float | None:
-        """Seconds that a message takes now, or None where nothing recent tells."""
-        took = self.took if now - self.heard < PERIOD else None
-        if not self.asked:
-            return took
-        age = now - self.asked[0]
-        return age if took is None else max(took, age)
+
+def message_delay(meters: list[Meter], now: float) -> tuple[float, Client] | None:
+    """Seconds that a message takes at a destination now and a client who sees it, or None if nothing tells.
+
+    Usually that of the median of the lines answered of late.  But lines that wait while none has been
+    answered since say more: counted among the others, a hang would show only once half of them were old.
+    """
+    heard = max(meter.heard for meter in meters)
+    stuck = [(now - m.asked[0], n) for n, m in enumerate(meters) if m.asked and m.asked[0] >= heard]
+    took = sorted((m.took, n) for n, m in enumerate(meters) if m.took is not None and now - m.heard < PERIOD)
+    found = [*took[len(took) // 2:][:1], *sorted(stuck)[-1:]]
+    if not found:
+        return None
+    delay, at = max(found)
+    return delay, meters[at].client
 
 
 class Gauge(Actor):
     """Once a second, tells the decider of each destination whose messages take long, and once of recovery."""
 
+    lasting = True
+
     def __init__(self, loop: Loop, tell: Callable[[Slow], None], shortest_aim_ms: float) -> None:
         super().__init__(loop)
         self.tell, self.limit = tell, shortest_aim_ms / 3000.0
@@ -71,12 +81,11 @@
     def look(self) -> None:
         now = self.loop.clock()
         for destination, meters in list(self.meters.items()):
-            seen = sorted(((d, n) for n, m in enumerate(meters) if (d := m.delay(now)) is not None))
-            if not seen:
+            found = message_delay(list(meters), now)
+            if found is None:
                 continue
-            delay, at = seen[len(seen) // 2]
+            delay, client = found
             if delay > self.limit or destination in self.slow:
-                client = list(meters)[at].client
                 self.tell(Slow(client, destination, 1000.0 * delay))
             if delay > self.limit:
                 self.slow.add(destination)
--- a/snowwick/net/loop.py
+++ b/snowwick/net/loop.py
@@ -38,6 +38,8 @@
 class Actor:
     """A coroutine with a mailbox.  It owns at most one socket at a time."""
 
+    lasting = False  # begins again after a fault: the program is of no use without it
+
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
         self.mail: deque[Any] = deque()
@@ -50,7 +52,7 @@
         raise NotImplementedError
 
     def start(self) -> None:
-        self.steps = self.run()
+        self.steps, self.fresh = self.run(), True
         self.loop.actors.add(self)
         self.loop.ready.append(self)
 
@@ -123,6 +125,8 @@
             # One peer's fault must not end the connections of all the others.
             self.log.line(f"fault: {type(actor).__name__}: {traceback.format_exc(limit=-4)}")
             self._forget(actor)
+            if actor.lasting:
+                actor.start()
             return
         self._park(actor, wait)
 
--- a/snowwick/net/pool.py
+++ b/snowwick/net/pool.py
@@ -75,6 +75,8 @@
 class Pool(Actor):
     """Watches discovery while the decider wants it, and tells the decider in order what changed."""
 
+    lasting = True
+
     def __init__(self, loop: Loop, address: tuple[str, int], tell: Callable[[i.ListUpdate], None]) -> None:
         super().__init__(loop)
         self.where, self.tell, self.config = address, tell, PoolConfig()
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -26,6 +26,8 @@
 class Acceptor(Actor):
     """Takes connections off the listening socket."""
 
+    lasting = True
+
     def __init__(self, service: Service, sock: socket.socket) -> None:
         super().__init__(service.loop)
         self.service, self.sock = service, sock
@@ -35,14 +37,13 @@
             yield Wait(self.sock, read=True)
             while self.service.room_to_accept():
                 try:
-                    sock, _ = self.sock.accept()
+                    self.service.welcome(self.sock.accept()[0])
                 except BlockingIOError:
                     break
                 except OSError as error:
                     self.loop.log.line(f"accept: {error}")
                     yield from self._pause()
                     break
-                self.service.welcome(sock)
             else:
                 yield from self._pause()
 
@@ -110,7 +111,8 @@
             signal.signal(number, lambda *_: None)
         Signals(self, inner).start()
         self.start()
-        self.log.line(f"{self.config.name}: serving on {self.config.listen[0]}:{self.config.listen[1]}")
+        host, port = self.listener.getsockname()
+        self.log.line(f"{self.config.name}: serving on {host}:{port}")
         try:
             self.loop.run()
         finally:
@@ -137,11 +139,9 @@
 
     def ended(self, front: Front) -> None:
         self.fronts.discard(front)
-        if front.reason == "ping":
-            return
         opening = front.opening
         self.log.line(f"{opening.id if opening else '-'} {front.reason} "
-                      f"{self.loop.clock() - front.began:.3f}s to={front.number}")
+                      f"{self.loop.clock() - front.began:.3f}s to={front.number} {front.detail}".rstrip())
 
     def sockets_used(self) -> int:
         return sum(1 if front.step is None else 2 for front in self.fronts)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
+import os
+import socket
 from collections.abc import Iterator
 
 import pytest
 from wire import World
 
 from snowwick.net.decider import PoolNews, Slow
+from snowwick.net.gauge import Meter, message_delay
 from snowwick.net.pool import WatchPool, number_of
+from snowwick.net.service import Acceptor
 
 OPEN = """
     c1 send OPEN 1 k1 d=1200,c=feed,g=g1
@@ -104,6 +109,41 @@
     world.close()
 
 
+def test_step_without_a_descriptor_is_a_failed_connect(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The failing socket() once took the client's answer with it."""
+    def none_left(*_: object) -> None:
+        raise OSError(errno.EMFILE, "too many open files")
+    world.play("c1 send PING\nc1 expect PONG")
+    monkeypatch.setattr("snowwick.net.destination.prepare", none_left)
+    world.play("c1 send OPEN 1 k1 d=1200,c=feed\nwait 1130\nc1 expect BUSY *\nc1 end")
+
+
+def test_accept_that_fails_neither_spins_nor_ends_the_program() -> None:
+    """The listening socket stays readable while accept fails: trying again at once would spin."""
+    world = World()
+    tries: list[float] = []
+
+    class Failing(socket.socket):
+        def accept(self) -> tuple[socket.socket, object]:
+            tries.append(world.clock.now)
+            raise OSError(errno.EMFILE, "too many open files")
+
+    listening = Failing(fileno=os.dup(world.service.listener.fileno()))
+    Acceptor(world.service, listening).start()
+    with socket.create_connection(world.service.listener.getsockname()):
+        for _ in range(3):
+            world.wait(60)
+    world.close()
+    listening.close()
+    assert 1 <= len(tries) <= 4
+
+
+def test_fault_in_a_lasting_actor_does_not_end_it(world: World) -> None:
+    world.service.decider.post("no message of the decider's")
+    world.play(UP)
+    assert "fault: Decider" in world.sink.getvalue()
+
+
 def test_slow_reader_stops_the_other_side(world: World) -> None:
     """Without a bound, one client that does not read would fill the memory with its destination's lines."""
     world.play(UP)
@@ -156,6 +196,28 @@
     assert [one.kind.value for one in told] == ["failed"]
 
 
+class Nobody:
+    def post(self, message: object) -> None:
+        pass
+
+
+def test_hang_shows_in_the_first_line_that_waits() -> None:
+    """Lines answered just before a hang once hid it for a second and more."""
+    meters = [Meter(Nobody(), 1) for _ in range(9)]
+    for n, meter in enumerate(meters):
+        meter.sent(9.0 + 0.05 * n, 1)
+        meter.answered(9.001 + 0.05 * n)
+    found = message_delay(meters, 9.8)
+    assert found is not None and round(found[0], 4) == 0.001
+    meters[0].sent(9.5, 1)
+    found = message_delay(meters, 9.8)
+    assert found is not None and round(found[0], 4) == 0.3
+    meters[1].sent(9.6, 1)
+    meters[1].answered(9.61)  # the destination answers: one connection alone says little of it
+    found = message_delay(meters, 9.8)
+    assert found is not None and found[0] < 0.02
+
+
 def test_slow_destination_is_told_once_a_second_and_once_when_it_is_well(world: World) -> None:
     """The wire has no note of a delay: a line that waits must count before it is answered."""
     world.play(UP)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,103 @@
+"""The program as a process, and its configuration."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from wire import SETTINGS, World, address, listener
+
+from snowwick.config import BadConfig, check, load
+
+ROOT = Path(__file__).parent.parent
+GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+
+
+def program(path: Path, command: str = "serve") -> subprocess.Popen[str]:
+    return subprocess.Popen([sys.executable, "-m", "snowwick", command], cwd=ROOT, text=True,
+                            env={**os.environ, "GW_CONFIG": str(path)},
+                            stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
+
+def test_planned_end_moves_all_clients_and_answers_who_still_comes(tmp_path: Path) -> None:
+    """SIGKILL follows SIGTERM after the longest deadline and 0.7 s: who is still held then is lost."""
+    servers, path = listener(), tmp_path / "config.json"
+    servers.settimeout(5.0)
+    known = {"version": 1, "full": True, "servers": [World.server("s-1", servers)]}
+    path.write_text(json.dumps({**GOOD, "known": known}))
+    with program(path) as process:
+        assert process.stderr is not None
+        where = process.stderr.readline().split()[-1].split(":")
+        client = socket.create_connection((where[0], int(where[1])), 5.0)
+        client.sendall(b"OPEN 1 k1 d=1200,c=feed\r\n")
+        destination = servers.accept()[0]
+        destination.settimeout(5.0)
+        assert destination.recv(4096).startswith(b"OPEN 1 k1 d=")
+        destination.sendall(b"UP r\r\n")
+        assert client.recv(4096) == b"UP r\r\n"
+        process.send_signal(signal.SIGTERM)
+        told = time.monotonic()
+        late = socket.create_connection((where[0], int(where[1])), 5.0)
+        assert client.recv(4096) == b"MOVE\r\n" and client.recv(4096) == b""
+        assert destination.recv(4096) == b""
+        late.sendall(b"OPEN 2 k2 d=1200,c=feed\r\n")
+        assert late.recv(4096).startswith(b"BUSY ")
+        for sock in (client, destination, late, servers):
+            sock.close()
+        assert process.wait(10.0) == 0
+        assert time.monotonic() - told < 1.9
+
+
+@pytest.mark.parametrize("change,key", [
+    ({"listen": None}, "listen"), ({"listen": "nowhere"}, "listen"), ({"discovery": "a:b"}, "discovery"),
+    ({"settings": None}, "settings"), ({"settings": {}}, "settings"), ({"settings": []}, "settings"),
+    ({"settings": {"classes": [{"name": "x"}]}}, "settings.*deadline"),
+    ({"settings": {"classes": [{"name": "x", "deadline": "soon"}]}}, "settings"),
+    ({"settings": {**SETTINGS, "familyInfo": 3}}, "settings"), ({"limits": 5}, "limits"),
+    ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"seed": 1.5}, "seed"),
+    ({"known": {"version": 1}}, "known.servers"),
+    ({"name": 7}, "name"),
+])
+def test_bad_configuration_names_its_key(change: dict[str, Any], key: str) -> None:
+    with pytest.raises(BadConfig, match=f"^{key}"):
+        check({**GOOD, **change})
+
+
+def test_environment_goes_over_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    one = load({"GW_CONFIG": str(path), "GW_NAME": "n3", "GW_LISTEN": "127.0.0.2:9"})
+    assert (one.name, one.listen, one.discovery) == ("n3", ("127.0.0.2", 9), ("127.0.0.1", 1))
+    with pytest.raises(BadConfig, match="GW_CONFIG"):
+        load({})
+
+
+def test_bad_configuration_ends_the_program_with_one_message(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text('{"listen": "127.0.0.1:0"}')
+    with program(path) as process:
+        _, said = process.communicate(timeout=20.0)
+    assert process.returncode == 2 and said.count("\n") == 1 and "settings" in said
+
+
+def test_taken_address_is_named(tmp_path: Path) -> None:
+    taken, path = listener(), tmp_path / "config.json"
+    path.write_text(json.dumps({**GOOD, "listen": address(taken)}))
+    with program(path) as process:
+        _, said = process.communicate(timeout=20.0)
+    taken.close()
+    assert process.returncode != 0 and said.startswith("snowwick: listen") and "Traceback" not in said
+
+
+def test_example_configuration_is_valid(tmp_path: Path) -> None:
+    with program(ROOT / "example" / "config.json", "check-config") as process:
+        said, _ = process.communicate(timeout=20.0)
+    assert process.returncode == 0 and "listen 127.0.0.1:8081" in said
