Make the tests of failing accept and of the silent backstop fail without their fixes

Seen by taking each fix out in turn: test_accept_that_fails passed without the pause, because the first acceptor took the connection, and the scenario of the silent destination passed without destination.timed_out, because the module had moved the client by then. The first now swaps the acceptor's socket, the second mutes the notes.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -59,8 +59,6 @@
     pytest.param(UP + "c1 raw 'x' * 9000\nc1 expect ERR\nc1 end\nd1 end", id="line too long from a client"),
     pytest.param(UP + "d1 raw 'x' * 9000\nc1 expect MOVE\nc1 end\nd1 end",
                  id="line too long from a destination"),
-    pytest.param(UP + "c1 send M 1\nd1 expect M 1\nwait 5600\nc1 expect MOVE\nc1 end\nd1 end",
-                 id="silent destination: moved within the seven seconds"),
 ])
 def test_scenario(world: World, scenario: str) -> None:
     world.play(scenario)
@@ -72,6 +70,13 @@
     assert [line.split()[1] for line in world.sink.getvalue().splitlines()] == ["client-ended", "garbled"]
 
 
+def test_silent_destination_loses_its_client_within_seven_seconds(world: World) -> None:
+    """A machine that vanished leaves its connections open: they must end even if no decision ends them."""
+    world.service.gauge.tell = lambda _: None
+    world.play(UP + "c1 send M 1\nd1 expect M 1\nwait 5400\nc1 quiet\nwait 200\n"
+                    "c1 expect MOVE\nc1 end\nd1 end")
+
+
 def test_opening_line_passes_on_but_for_its_wait(world: World) -> None:
     """Destinations answer SYNTAX to a line in a form that no client sent, and that voids a run."""
     world.play("c1 send OPEN 9b k=d=7 t=d,d=1200,r=1,c=feed,x=d=5,h=0.5\n"
@@ -129,13 +134,14 @@
             raise OSError(errno.EMFILE, "too many open files")
 
     listening = Failing(fileno=os.dup(world.service.listener.fileno()))
-    Acceptor(world.service, listening).start()
+    (acceptor,) = (actor for actor in world.loop.actors if isinstance(actor, Acceptor))
+    acceptor.sock = listening
     with socket.create_connection(world.service.listener.getsockname()):
         for _ in range(3):
             world.wait(60)
     world.close()
     listening.close()
-    assert 1 <= len(tries) <= 4
+    assert 3 <= len(tries) <= 4
 
 
 def test_fault_in_a_lasting_actor_does_not_end_it(world: World) -> None:
