--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -33,10 +33,10 @@
 YIELD, YIELD_KEEP = 0.25, 10000.0  # part of the groups asked off a slow backend a note; ms until half return
 PARTS = 4  # a group leaves a slow backend in so many parts
 MOVE, SETTLED = 0.25, 2000.0  # chance that one which should leave is moved, a note; ms it stays at least
-SAFE, EVEN = 0.55, 1.25  # load over capacity, and over the fleet's mean, up to which a backend is filled
+SAFE, EVEN = 0.55, 1.08  # load over capacity, and over the fleet's mean, up to which a backend is filled
 QUOTAS = 0.81  # the tenants' quotas together, as part of what the fleet can hold
 GROUP = 3.0  # what a group costs a backend that holds any of it, in mean connections
-CROWDED, SHED = 1.15, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
+CROWDED, SHED = 1.1, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
 
