Leave out a list entry that cannot be read; bound the answers to PING

Found by reading: one entry in an unknown state made PoolConfig.take refuse the whole answer, so that every later call failed too; Front._first_line read on from a client who never reads its PONGs. A connection that only asks PING now stays as long as it asks.

--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -87,14 +87,15 @@
         until = self.loop.clock() + FIRST_LINE
         self.reason = "no-opening"
         while True:
-            woke = yield Wait(self.sock, read=True, write=bool(self.out), until=until)
+            # Who asks without reading the answers is read no further: the answers would pile up.
+            woke = yield Wait(self.sock, read=not self.full(), write=bool(self.out), until=until)
             if woke & TIME:
                 return None
             going = self.receive() if woke & READ else True
             while (line := lines.cut_one(self.inbox)) is not None:
                 word = line.rstrip(b"\r\n")
                 if word == lines.PING:
-                    self.reason = "ping"
+                    self.reason, until = "ping", self.loop.clock() + FIRST_LINE
                     self.out += lines.PONG
                 elif word == b"STATS":
                     self.out += lines.NO
--- a/snowwick/net/pool.py
+++ b/snowwick/net/pool.py
@@ -44,17 +44,26 @@
 class PoolConfig:
     """The list as it stands: its version, and where each destination is."""
 
-    def __init__(self) -> None:
-        self.version = 0
+    def __init__(self, left_out: Callable[[str], None]) -> None:
+        self.left_out, self.version = left_out, 0
         self.addresses: dict[int, tuple[str, int]] = {}
 
     def take(self, message: Any, kind: i.ListKind | None = None) -> i.ListUpdate:
         """Apply a list in discovery's form; raises CallFailed, and then nothing has changed."""
         try:
             version, full = int(message["version"]), bool(message.get("full", False))
-            rows = [(parse_address(one["addr"]), self._entry(one)) for one in message["servers"]]
+            servers = message["servers"]
+            if not isinstance(servers, list):
+                raise TypeError("servers is no list")
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise CallFailed(f"unusable list: {type(error).__name__} {error}") from error
+        rows = []
+        for one in servers:
+            try:
+                rows.append((parse_address(one["addr"]), self._entry(one)))
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                # One entry that cannot be read must not hide the news of all the others.
+                self.left_out(f"pool config: entry left out: {type(error).__name__} {error}")
         self.version = version
         if full:
             self.addresses = {}
@@ -79,7 +88,7 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], tell: Callable[[i.ListUpdate], None]) -> None:
         super().__init__(loop)
-        self.where, self.tell, self.config = address, tell, PoolConfig()
+        self.where, self.tell, self.config = address, tell, PoolConfig(loop.log.line)
         self.sock: socket.socket | None = None
         self.http: h11.Connection | None = None
 
