Try the example as a newcomer: a toy client, and a test that plays the README's steps

Seen: following the README in a fresh clone failed where no netcat is installed. The example now has a client of its own that honours BUSY; tests/test_program.py starts toy server, balancer and client on free ports.

--- /dev/null
+++ b/example/toy_client.py
@@ -0,0 +1,42 @@
+"""A toy client: opens a connection through the balancer, says a few lines, comes again while it is busy.
+
+    python example/toy_client.py [HOST:PORT]
+"""
+
+from __future__ import annotations
+
+import socket
+import sys
+import time
+
+TRIES = 30
+
+
+def talk(host: str, port: int, number: int) -> float | None:
+    """One try; the seconds after which to come again, or None once it was served."""
+    with socket.create_connection((host, port), 5.0) as sock, sock.makefile("rwb") as lines:
+        lines.write(b"OPEN %d truck-12 c=feed,t=demo,d=1200,g=trucks\r\n" % number)
+        lines.flush()
+        answer = lines.readline().decode().split()
+        print(" ".join(answer), flush=True)
+        if answer[:1] != ["UP"]:
+            return float(answer[1]) / 1000.0 if answer[:1] == ["BUSY"] and answer[1:] else 0.5
+        for line in (b"hello\r\n", b"bye\r\n"):
+            lines.write(line)
+            lines.flush()
+            print(lines.readline().decode().strip(), flush=True)
+    return None
+
+
+def main() -> int:
+    host, _, port = (sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:8081").rpartition(":")
+    for number in range(1, TRIES + 1):
+        wait = talk(host, int(port), number)
+        if wait is None:
+            return 0
+        time.sleep(wait)
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -18,7 +18,7 @@
     """Answers the opening line with UP, echoes what follows, says BYE to ``bye``."""
 
     def handle(self) -> None:
-        me = f"s-{self.server.server_address[1]}"
+        me = f"s-{self.connection.getsockname()[1]}"
         opening = self.rfile.readline(4096)
         if not opening.startswith(b"OPEN "):
             return
@@ -39,7 +39,7 @@
     """The whole list to whoever has none, and no news to whoever watches."""
 
     protocol_version = "HTTP/1.1"
-    servers: tuple[dict[str, object], ...] = ()
+    servers: tuple[dict[str, str], ...] = ()
 
     def do_GET(self) -> None:
         asked = parse_qs(urlparse(self.path).query)
@@ -65,12 +65,13 @@
     for _ in range(options.destinations):
         server = Server(("127.0.0.1", 0), Destination)
         threading.Thread(target=server.serve_forever, daemon=True).start()
-        port = server.server_address[1]
+        port = int(server.server_address[1])
         listed.append({"id": f"s-{port}", "addr": f"127.0.0.1:{port}", "state": "in_service"})
     Discovery.servers = tuple(listed)
     host, _, port = options.discovery.rpartition(":")
     web = ThreadingHTTPServer((host, int(port)), Discovery)
-    print(f"discovery on {host}:{port}, destinations {[one['addr'] for one in listed]}", flush=True)
+    addresses = ", ".join(one["addr"] for one in listed)
+    print(f"destinations {addresses}; discovery on {host}:{web.server_address[1]}", flush=True)
     web.serve_forever()
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import pytest
 from wire import SETTINGS, World, address, listener
@@ -21,12 +21,21 @@
 GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
 
 
-def program(path: Path, command: str = "serve") -> subprocess.Popen[str]:
-    return subprocess.Popen([sys.executable, "-m", "snowwick", command], cwd=ROOT, text=True,
-                            env={**os.environ, "GW_CONFIG": str(path)},
+def python(*words: str, **environment: str) -> subprocess.Popen[str]:
+    return subprocess.Popen([sys.executable, *words], cwd=ROOT, text=True, env={**os.environ, **environment},
                             stdout=subprocess.PIPE, stderr=subprocess.PIPE)
 
 
+def program(path: Path, command: str = "serve", **environment: str) -> subprocess.Popen[str]:
+    return python("-m", "snowwick", command, GW_CONFIG=str(path), **environment)
+
+
+def address_in(stream: IO[str] | None) -> str:
+    """The address at the end of the line that a program prints once it serves."""
+    assert stream is not None
+    return stream.readline().split()[-1]
+
+
 def test_planned_end_moves_all_clients_and_answers_who_still_comes(tmp_path: Path) -> None:
     """SIGKILL follows SIGTERM after the longest deadline and 0.7 s: who is still held then is lost."""
     servers, path = listener(), tmp_path / "config.json"
@@ -34,8 +43,7 @@
     known = {"version": 1, "full": True, "servers": [World.server("s-1", servers)]}
     path.write_text(json.dumps({**GOOD, "known": known}))
     with program(path) as process:
-        assert process.stderr is not None
-        where = process.stderr.readline().split()[-1].split(":")
+        where = address_in(process.stderr).split(":")
         client = socket.create_connection((where[0], int(where[1])), 5.0)
         client.sendall(b"OPEN 1 k1 d=1200,c=feed\r\n")
         destination = servers.accept()[0]
@@ -101,3 +109,15 @@
     with program(ROOT / "example" / "config.json", "check-config") as process:
         said, _ = process.communicate(timeout=20.0)
     assert process.returncode == 0 and "listen 127.0.0.1:8081" in said
+
+
+def test_example_serves_as_the_readme_says() -> None:
+    with python("example/toy_server.py", "--discovery", "127.0.0.1:0") as toy:
+        with program(ROOT / "example" / "config.json", GW_LISTEN="127.0.0.1:0",
+                     GW_DISCOVERY=address_in(toy.stdout)) as process:
+            with python("example/toy_client.py", address_in(process.stderr)) as client:
+                said, _ = client.communicate(timeout=60.0)
+            process.terminate()
+            assert process.wait(10.0) == 0
+        toy.terminate()
+    assert client.returncode == 0 and said.splitlines()[-2:] == ["hello", "BYE"]
