Correct the guessed capacity of a backend by how long its setups take

Ruled out before: the spread of guessed fills (a tighter bound changed nothing there), a drift of the mean load.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -36,6 +36,7 @@
 SAFE, EVEN = 0.55, 1.08  # load over capacity, and over the fleet's mean, up to which a backend is filled
 QUOTAS = 0.81  # the tenants' quotas together, as part of what the fleet can hold
 GROUP = 3.0  # what a group costs a backend that holds any of it, in mean connections
+PACE, PACED = 0.1, 8  # part that a new setup time counts for; setups at a backend before its pace counts
 CROWDED, SHED = 1.1, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
@@ -49,7 +50,8 @@
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
     __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "level", "level_at", "load",
-                 "open", "ready", "rejected", "rejected_at", "slow", "slow_at", "told", "weight")
+                 "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups", "slow", "slow_at",
+                 "told", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
@@ -59,6 +61,7 @@
         self.flows: dict[int, Flow] = {}
         self.open, self.told, self.load = 0, 0, 0.0  # open connections, those whose load is told, its sum
         self.groups: dict[int, int] = {}  # open connections a group
+        self.setup, self.setups, self.pace = 0.0, 0, 1.0  # ms of a setup, how many; speed against its weight
 
 
 class Group:
@@ -255,7 +258,7 @@
         held = b.load / mean + b.open - b.told if self.total.load > 0.0 else float(b.open)
         groups = len(b.groups) + (joining is not None and joining.hash not in b.groups)
         everywhere = self.settings.balancers * held + (joining is not None) + GROUP * groups
-        return everywhere / (self.unit * b.weight)
+        return everywhere / (self.unit * b.weight * b.pace)
 
     def _cold_room(self, b: Backend) -> bool:
         """This balancer's share of what a cold backend may be sent: all together could push it over."""
@@ -366,6 +369,8 @@
             return
         b = self.backends[flow.backend]
         b.fails, b.down_until = 0, -math.inf
+        b.setups += 1
+        b.setup += max(PACE, 1.0 / b.setups) * (e.elapsed - b.setup)
         if e.elapsed > flow.cls.aim:
             b.slow_at, b.slow = self.now, 1.0
         self.stood, self.good = self.stood + 1, self.good + 1
@@ -413,7 +418,12 @@
 
         Where the wire tells no delay, a crowded backend shows in the loads of its connections only.  The
         bound follows the mean, so that wrong guesses of capacity and of other balancers' part cancel out.
+        Weights tell the registered size only: how long setups take shows which backends are slower than that.
         """
+        timed = [b for b in self.rows if b.setups >= PACED and b.setup > 0.0]
+        usual = sum(b.setup * b.weight for b in timed) / len(timed) if timed else 0.0
+        for b in timed:  # the root: half of a difference is taken for chance
+            b.pace = min(1.4, max(0.7, math.sqrt(usual / (b.setup * b.weight))))
         fills = [(self._fill(b), b) for b in self.rows]
         weights = sum(b.weight for b in self.rows)
         mean = sum(fill * b.weight for fill, b in fills) / weights if weights else 0.0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -179,6 +179,19 @@
     assert home == 1 and {send.backend for send in opened} == {1}
 
 
+def test_backend_with_slow_setups_is_given_less() -> None:
+    """Backends of one size differed in speed all day: the slow ones were filled like the fast ones."""
+    bench, taken = Bench(backends=6, tenants=(i.Tenant("t", 60.0),)), {1: 18.0}
+    for n in range(200):
+        for send in sends(bench.ask(n, f"k{n}")):
+            bench.put(i.Established(n, 0, send.backend, taken.get(send.backend, 9.0)))
+            if n < 120:
+                bench.put(i.Ended(n, 0, send.backend, i.Outcome.OK, 5.0, True))
+        bench.run(bench.now + 50.0)
+    held = {b.id: b.open for b in bench.balancer.rows}
+    assert held[1] < 0.85 * sum(held.values()) / 6
+
+
 def test_backend_that_grows_crowded_is_relieved_by_moves() -> None:
     bench = Bench(backends=6, tenants=(i.Tenant("t", 180.0),))
     bench.run(bench.now + 1000.0)
