--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from pathlib import Path
 from typing import IO, Any
 
@@ -23,7 +24,7 @@
 
 def python(*words: str, **environment: str) -> subprocess.Popen[str]:
     return subprocess.Popen([sys.executable, *words], cwd=ROOT, text=True, env={**os.environ, **environment},
-                            stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+                            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
 
 
 def program(path: Path, command: str = "serve", **environment: str) -> subprocess.Popen[str]:
@@ -121,3 +122,16 @@
             assert process.wait(10.0) == 0
         toy.terminate()
     assert client.returncode == 0 and said.splitlines()[-2:] == ["hello", "BYE"]
+
+
+def test_deploy_file_names_what_there_is() -> None:
+    """The operators start and measure what this file names, and run no longer module than 500 lines."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
+    for path in [*deploy["policy"], *deploy["node"]]:
+        assert (ROOT / path).exists(), path
+    texts = [(ROOT / path).read_text(encoding="utf-8") for path in deploy["policy"]]
+    assert sum(bool(line.strip()) for text in texts for line in text.splitlines()) <= 500
+    with python(*deploy["run"].split()[2:-1], "version") as process:
+        assert "snowwick" in process.communicate(timeout=20.0)[0]
+    with python(*deploy["sim"].split()[2:]) as process:
+        assert process.communicate('{"moment":1.0,"input":[]}\n', timeout=20.0)[0] == '{"out":[]}\n'
