Reread the configuration on SIGHUP and move to the new discovery at once

SIGHUP had no handler, so its usual effect ended the program; a new test of the process shows the exit without the fix. Checked: GW_DISCOVERY still names the old address after a reload, so the file must go over it then. The old code asked with the version it had, which means nothing to another discovery; a call that was out would have been applied. At fault: snowwick/net/service.py (Signals, serve), snowwick/net/pool.py (one fixed address).

--- a/snowwick/config.py
+++ b/snowwick/config.py
@@ -17,6 +17,7 @@
 
 SOCKETS = 1024
 MESSAGE_AIM_MS = 100.0
+LIVE = ("discovery", "known")  # reread on SIGHUP; `known` only matters at a start, so it is never "changed"
 
 
 class BadConfig(Exception):
@@ -45,6 +46,15 @@
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read GW_CONFIG's file, put the other variables over it, check everything."""
+    return _read(environment, {"GW_NAME": "name", "GW_LISTEN": "listen", "GW_DISCOVERY": "discovery"})
+
+
+def reload(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the file again while serving: its discovery counts, the variable held for the start only."""
+    return _read(environment, {"GW_NAME": "name", "GW_LISTEN": "listen"})
+
+
+def _read(environment: Mapping[str, str], over: Mapping[str, str]) -> Config:
     path = environment.get("GW_CONFIG")
     if not path:
         raise BadConfig("GW_CONFIG: not set; it names the JSON file with the configuration")
@@ -58,7 +68,7 @@
         raise BadConfig(f"GW_CONFIG: {path} is not JSON: {error}") from error
     if not isinstance(raw, dict):
         raise BadConfig(f"GW_CONFIG: {path} must hold an object")
-    for variable, key in (("GW_NAME", "name"), ("GW_LISTEN", "listen"), ("GW_DISCOVERY", "discovery")):
+    for variable, key in over.items():
         if environment.get(variable):
             raw[key] = environment[variable]
     return check(raw)
--- a/snowwick/net/pool.py
+++ b/snowwick/net/pool.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 from collections.abc import Callable, Generator
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
 
 import h11
 
 from crowgap import interface as i
-from snowwick.net.loop import READ, TIME, Actor, Loop, Steps, Wait
-from snowwick.net.peer import CHUNK, connect, prepare
+from snowwick.net.loop import READ, TIME, WRITE, Actor, Loop, Steps, Wait
+from snowwick.net.peer import CHUNK, prepare
 
 WATCH = 5.0  # s that a watch may wait for news
 ANSWER = 2.0  # s beyond that for the call itself
@@ -28,6 +30,17 @@
     """To the pool: watch for changes from now on."""
 
 
+@dataclass(slots=True)
+class NewAddress:
+    """To the pool: discovery is somewhere else from now on."""
+
+    where: tuple[str, int]
+
+
+class Moved(Exception):
+    """Discovery has moved while a call was out."""
+
+
 def number_of(name: str) -> int:
     """The module takes numbers and hashes them: the same name must be the same number everywhere."""
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
@@ -51,7 +64,7 @@
     def take(self, message: Any, kind: i.ListKind | None = None) -> i.ListUpdate:
         """Apply a list in discovery's form; raises CallFailed, and then nothing has changed."""
         try:
-            version, full = int(message["version"]), bool(message.get("full", False))
+            version, full = int(message["version"]), kind is not None or bool(message.get("full", False))
             servers = message["servers"]
             if not isinstance(servers, list):
                 raise TypeError("servers is no list")
@@ -91,6 +104,8 @@
         self.where, self.tell, self.config = address, tell, PoolConfig(loop.log.line)
         self.sock: socket.socket | None = None
         self.http: h11.Connection | None = None
+        self.full = False  # the next call asks for the whole list
+        self.moved = False
 
     def number(self, name: str) -> int:
         return number_of(name)
@@ -103,16 +118,31 @@
             while True:
                 if not self.mail:
                     yield Wait()
-                if [m for m in self.take() if isinstance(m, WatchPool)]:
+                if any(list(map(self._heed, self.take()))):
                     yield from self._watch()
         finally:
             self._hang_up()
 
+    def _heed(self, message: object) -> bool:
+        """Act on one message; all that come here want discovery to be called."""
+        if isinstance(message, NewAddress):
+            self._hang_up()
+            self.where, self.full, self.moved = message.where, True, True
+        return True
+
     def _watch(self) -> Steps:
-        """Call after call, each right after the last answer, until one fails; then the decider asks anew."""
+        """Call after call, each right after the last answer, until one fails; then the decider asks anew.
+
+        A version means nothing to another discovery: after a move the first call asks for the whole list.
+        """
         while True:
             try:
-                news = self.config.take((yield from self._call()))
+                answer = yield from self._call()
+                self._read_mail()
+                news = self.config.take(answer, i.ListKind.FULL if self.full else None)
+                self.full = False
+            except Moved:
+                continue  # nothing of the old discovery is applied, its failure is no news either
             except (CallFailed, OSError, ValueError, h11.ProtocolError) as error:
                 self.loop.log.line(f"pool config: call failed: {type(error).__name__} {error}")
                 self._hang_up()
@@ -125,7 +155,9 @@
         if self.sock is None or self.http is None:
             yield from self._connect(min(until, self.loop.clock() + ANSWER))
         assert self.sock is not None and self.http is not None
-        target = f"/v1/endpoints?after={self.config.version}&wait_ms={int(1000 * WATCH)}"
+        target = "/v1/endpoints"
+        if not self.full:
+            target += f"?after={self.config.version}&wait_ms={int(1000 * WATCH)}"
         host = f"{self.where[0]}:{self.where[1]}"
         head = h11.Request(method="GET", target=target, headers=[("Host", host)])
         out = (self.http.send(head) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
@@ -158,13 +190,22 @@
         self._hang_up()
         self.sock = prepare(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
-        if not (yield from connect(self, self.sock, self.where, until)):
-            raise CallFailed("no connection in time")
+        sock = self.sock
+        with contextlib.suppress(BlockingIOError):
+            sock.connect(self.where)
+        while not (woke := (yield Wait(sock, write=True, until=until))) & WRITE:
+            if woke & TIME:
+                raise CallFailed("no connection in time")
+            self._read_mail()
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connect")
 
     def _receive(self, until: float) -> Generator[Wait, int, bytes]:
         assert self.sock is not None
         while True:
             woke = yield Wait(self.sock, read=True, until=until)
+            self._read_mail()  # first: nothing that the old discovery still says counts after a move
             if woke & READ:
                 try:
                     return self.sock.recv(CHUNK)
@@ -172,7 +213,14 @@
                     continue
             if woke & TIME:
                 raise CallFailed("timed out")
-            self.mail.clear()  # watching already
+
+    def _read_mail(self) -> None:
+        """During a call: who asks to watch is served already; a new address ends the call that is out."""
+        self.moved = False
+        for message in self.take():
+            self._heed(message)
+        if self.moved:
+            raise Moved
 
     def _hang_up(self) -> None:
         if self.sock is not None:
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -6,15 +6,18 @@
 import signal
 import socket
 import time
+from collections.abc import Callable
+from dataclasses import fields, replace
 
 from crowgap.interface import ListKind
-from snowwick.config import Config
+from snowwick.config import LIVE, BadConfig, Config, reload
 from snowwick.log import Log
 from snowwick.net.decider import Decider, MoveAway
 from snowwick.net.front import Front
 from snowwick.net.gauge import Gauge
 from snowwick.net.loop import Actor, Loop, Steps, Wait
-from snowwick.net.pool import CallFailed, Pool, WatchPool
+from snowwick.net.peer import CHUNK
+from snowwick.net.pool import CallFailed, NewAddress, Pool, WatchPool
 
 BACKLOG = 1024
 OWN_SOCKETS = 24  # kept for the program itself and for answering clients who get a busy reply
@@ -55,14 +58,21 @@
 
 
 class Signals(Actor):
-    """Turns SIGTERM and SIGINT into the orderly end."""
+    """Turns SIGTERM and SIGINT into the orderly end, SIGHUP into a new reading of the configuration."""
 
     def __init__(self, service: Service, sock: socket.socket) -> None:
         super().__init__(service.loop)
         self.service, self.sock = service, sock
 
     def run(self) -> Steps:
-        yield Wait(self.sock, read=True)
+        while True:
+            yield Wait(self.sock, read=True)
+            numbers = self.sock.recv(CHUNK)
+            if set(numbers) & {signal.SIGTERM, signal.SIGINT}:
+                break
+            if signal.SIGHUP in numbers:  # several at once are one: the file is read as it is now
+                self.service.reload()
+        # Nothing is reread from here on; a SIGHUP that still comes has its handler and ends nothing.
         yield from self.service.drain()
         self.loop.stop()
 
@@ -70,8 +80,9 @@
 class Service:
     """One balancer."""
 
-    def __init__(self, config: Config, loop: Loop | None = None) -> None:
-        self.config = config
+    def __init__(self, config: Config, loop: Loop | None = None,
+                 read_again: Callable[[], Config] = reload) -> None:
+        self.config, self.read_again = config, read_again
         self.loop = loop or Loop(Log())
         self.log = self.loop.log
         self.random = random.Random(config.seed)
@@ -107,7 +118,7 @@
         for end in (inner, outer):
             end.setblocking(False)
         signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         Signals(self, inner).start()
         self.start()
@@ -118,6 +129,22 @@
         finally:
             self.loop.close()
 
+    def reload(self) -> None:
+        """Read the configuration again.  Only the address of discovery changes live."""
+        try:
+            new = self.read_again()
+        except BadConfig as error:
+            self.log.line(f"reload: {error}; the old configuration stays")
+            return
+        waiting = [one.name for one in fields(Config)
+                   if one.name not in LIVE and getattr(new, one.name) != getattr(self.config, one.name)]
+        if waiting:
+            self.log.line(f"reload: {', '.join(waiting)} changed, but only at the next start")
+        self.log.line(f"reload: discovery at {new.discovery[0]}:{new.discovery[1]}")
+        if new.discovery != self.config.discovery:
+            self.config = replace(self.config, discovery=new.discovery)
+            self.pool.post(NewAddress(new.discovery))
+
     def drain(self) -> Steps:
         """Answer whoever still comes, have every client move, leave once all have gone."""
         began = self.loop.clock()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 
 import pytest
-from wire import World
+from wire import World, address
 
 from snowwick.net.decider import PoolNews, Slow
 from snowwick.net.gauge import Meter, message_delay
@@ -222,6 +222,57 @@
     assert [one.kind.value for one in told] == ["failed"]
 
 
+def listing(world: World, version: int, *names: str, full: bool = True) -> str:
+    rows = [world.server(name, world.servers) for name in names]
+    return json.dumps({"version": version, "full": full, "servers": rows})
+
+
+@pytest.mark.parametrize("out", [False, True], ids=["between calls", "call out"])
+def test_reload_moves_to_the_new_discovery_and_leaves_the_old(world: World, out: bool) -> None:
+    """Versions of one discovery mean nothing to another: a watch from the old version would miss changes."""
+    told = news(world)
+    world.play(UP + "pool " + listing(world, 7, "s-1", "s-2"))
+    if out:
+        world.called("pool")
+    world.setup["discovery"] = address(world.pools["pool2"])
+    world.service.reload()
+    if out:
+        late = listing(world, 8, "s-9", full=False).encode()
+        world.socks["pool"].sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(late), late))
+    world.play("pool2 " + listing(world, 3, "s-2", full=False))
+    world.called("pool2")
+    world.play("c1 send M 1\nd1 expect M 1\nd1 send M 1\nc1 expect M 1")
+    assert world.calls[-2:] == ["pool2 /v1/endpoints", "pool2 /v1/endpoints?after=3&wait_ms=5000"]
+    assert [one.kind.value for one in told] == ["full", "full"]
+    assert list(world.service.pool.config.addresses) == [number_of("s-2")]
+
+
+def test_reload_to_a_discovery_that_fails_asks_it_again_for_the_whole_list(world: World) -> None:
+    told = news(world)
+    world.play("pool " + listing(world, 7, "s-1", "s-2"))
+    world.setup["discovery"] = address(world.pools["pool2"])
+    world.service.reload()
+    world.service.reload()
+    world.play("pool2 fail")
+    del world.socks["pool2"]
+    world.service.pool.post(WatchPool())
+    world.play("pool2 " + listing(world, 1, "s-2"))
+    assert [one.kind.value for one in told] == ["full", "failed", "full"]
+    assert world.calls[1:] == ["pool2 /v1/endpoints"] * 2
+
+
+def test_reload_with_a_bad_file_names_its_key_and_changes_nothing(world: World) -> None:
+    news(world)
+    world.setup["limits"] = {"sockets": "many"}
+    world.setup["discovery"] = address(world.pools["pool2"])
+    world.service.reload()
+    assert "reload: limits.sockets" in world.sink.getvalue()
+    world.play("pool " + listing(world, 7, "s-1"))
+    world.setup["limits"] = {"sockets": 77}
+    world.service.reload()
+    assert "reload: sockets changed, but only at the next start" in world.sink.getvalue()
+
+
 class Nobody:
     def post(self, message: object) -> None:
         pass
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -106,6 +106,34 @@
     assert process.returncode != 0 and said.startswith("snowwick: listen") and "Traceback" not in said
 
 
+def test_hangup_signal_rereads_the_file_and_ends_nothing(tmp_path: Path) -> None:
+    """The signal's usual effect is the end of the program: the balancer crashed at each new configuration."""
+    path, other = tmp_path / "config.json", listener()
+    path.write_text(json.dumps(GOOD))
+    # The variable held for the start: the file replaced since must go over it.
+    with program(path, GW_DISCOVERY="127.0.0.1:1") as process:
+        where = address_in(process.stderr).split(":")
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert process.stderr is not None
+        assert "not JSON" in process.stderr.readline()
+        path.write_text(json.dumps({**GOOD, "discovery": address(other)}))
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
+        other.settimeout(5.0)
+        call, _ = other.accept()
+        call.settimeout(5.0)
+        assert call.recv(4096).startswith(b"GET /v1/endpoints HTTP/1.1\r\n")
+        with socket.create_connection((where[0], int(where[1])), 5.0) as client:
+            client.sendall(b"PING\r\n")
+            assert client.recv(4096) == b"PONG\r\n"
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        assert process.wait(10.0) == 0
+        call.close()
+        other.close()
+
+
 def test_example_configuration_is_valid(tmp_path: Path) -> None:
     with program(ROOT / "example" / "config.json", "check-config") as process:
         said, _ = process.communicate(timeout=20.0)
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -11,6 +11,7 @@
     c1 quiet                            expects that nothing has come
     wait 500                            moves the clock by so many ms
     pool DATA                           an answer of discovery; ``pool fail`` is a 503
+    pool2 DATA                          the same from another discovery, at an address of its own
 """
 
 from __future__ import annotations
@@ -58,6 +59,8 @@
 
     def __init__(self, **changes: Any) -> None:
         self.clock, self.servers, self.discovery = Clock(), listener(), listener()
+        self.pools = {"pool": self.discovery, "pool2": listener()}
+        self.calls: list[str] = []
         self.socks: dict[str, socket.socket] = {}
         self.got: dict[str, bytearray] = {}
         self.ended: set[str] = set()
@@ -68,7 +71,9 @@
                "settings": SETTINGS,
                "known": {"version": 1, "full": True,
                          "servers": [self.server(name, self.servers) for name in ("s-1", "s-2")]}}
-        self.service = Service(self.config({**raw, **changes}), Loop(log, self.clock))
+        self.setup = {**raw, **changes}
+        self.service = Service(self.config(self.setup), Loop(log, self.clock),
+                               read_again=lambda: self.config(self.setup))
         self.loop = self.service.loop
         self.service.start()
 
@@ -82,7 +87,7 @@
 
     def close(self) -> None:
         self.loop.close()
-        for sock in [*self.socks.values(), self.servers, self.discovery, self.service.listener]:
+        for sock in [*self.socks.values(), self.servers, *self.pools.values(), self.service.listener]:
             sock.close()
 
     def play(self, text: str) -> None:
@@ -92,8 +97,8 @@
             try:
                 if who == "wait":
                     self.wait(float(verb))
-                elif who == "pool":
-                    self.answer(step[5:])
+                elif who in self.pools:
+                    self.answer(who, step.partition(" ")[2])
                 else:
                     getattr(self, "close_" if verb == "close" else verb)(who, what)
             except AssertionError as error:
@@ -121,6 +126,7 @@
     def meet(self, who: str, sock: socket.socket) -> None:
         sock.setblocking(False)
         self.socks[who], self.got[who] = sock, bytearray()
+        self.ended.discard(who)
 
     def until(self, done: Any) -> None:
         end = time.monotonic() + PATIENCE
@@ -167,19 +173,23 @@
         self.socks[who].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.close_(who, "")
 
-    def answer(self, what: str) -> None:
-        """Take the balancer's call and answer it."""
-        if "pool" not in self.socks:
+    def called(self, who: str) -> None:
+        """Take the balancer's call to that discovery."""
+        if who not in self.socks:
             def come() -> bool:
                 try:
-                    self.meet("pool", self.discovery.accept()[0])
+                    self.meet(who, self.pools[who].accept()[0])
                 except BlockingIOError:
                     return False
                 return True
             self.until(come)
-        self.until(lambda: b"\r\n\r\n" in self.got["pool"])
-        self.got["pool"].clear()
+        self.until(lambda: b"\r\n\r\n" in self.got[who])
+        self.calls.append(f"{who} {self.got[who].split()[1].decode()}")
+        self.got[who].clear()
+
+    def answer(self, who: str, what: str) -> None:
+        self.called(who)
         status, body = ("503 Busy", "") if what == "fail" else ("200 OK", what)
-        self.socks["pool"].sendall(
+        self.socks[who].sendall(
             f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         self.settle()
