End nonsense and mute clients at the balancer; an ERR counts once another has served

Checked: usual openings carry c, t, d (at most the deadline; 4294967 with at=), g, r=1, again=1 and nothing follows them, so class, tenant, d, forms and a second line can be told apart. Ids of other clients' requests come with other keys. At fault: front.py (10 s for the first line, renewed by PING; overlong senders closed at once, a reset), lines.py (no check against the settings), service.py (two sockets counted as one while they close, all idle fronts kept), policy.py (_on_ended judged each ERR). A destination's ERR now counts when another destination served the same request.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -77,8 +77,8 @@
 class Flow:
     """A request from its arrival to its end, and the connection it becomes."""
 
-    __slots__ = ("attempts", "backend", "cls", "deadline", "group", "id", "load", "open", "pending", "pick",
-                 "since", "tenant", "tried", "unsure")
+    __slots__ = ("attempts", "backend", "cls", "deadline", "erred", "group", "id", "load", "open", "pending",
+                 "pick", "since", "tenant", "tried", "unsure")
 
     def __init__(self, e: i.Request | i.Carried, cls: i.RequestClass, group: Group, deadline: float) -> None:
         self.id, self.cls, self.tenant, self.group, self.deadline = e.request, cls, e.tenant, group, deadline
@@ -87,6 +87,7 @@
         self.load = -1.0  # not told yet
         self.tried: set[int] = set()
         self.unsure: list[tuple[int, float]] = []  # attempts that may have run: backend, time sent
+        self.erred: list[Backend] = []  # answered with an error: its fault or the request's
 
 
 class Throttle:
@@ -373,6 +374,8 @@
         b.setup += max(PACE, 1.0 / b.setups) * (e.elapsed - b.setup)
         if e.elapsed > flow.cls.aim:
             b.slow_at, b.slow = self.now, 1.0
+        for erred in flow.erred:  # another can serve what it could not: the fault is its own
+            self._judge(erred, i.Outcome.ERROR, False)
         self.stood, self.good = self.stood + 1, self.good + 1
         self._opened(flow)
 
@@ -442,7 +445,10 @@
         was_open, flow.pending = flow.open, False
         self.opened -= was_open
         self.held[flow.tenant] = self.held.get(flow.tenant, 0) - was_open
-        self._judge(b, e.outcome, was_open)
+        if e.outcome is i.Outcome.ERROR and not was_open:
+            flow.erred.append(b)  # a request that nobody can serve must not make all of them look ill
+        else:
+            self._judge(b, e.outcome, was_open)
         if e.closed or was_open or flow.deadline < 0:
             del self.flows[flow.id]
             return
--- a/snowwick/config.py
+++ b/snowwick/config.py
@@ -35,13 +35,14 @@
     seed: int = 0
     sockets: int = SOCKETS
     groups: bool = False
+    tenants: frozenset[str] = frozenset()
     message_aim_ms: float = MESSAGE_AIM_MS
     known: dict[str, Any] = field(default_factory=dict)
 
-    def deadline_ms(self, class_name: str) -> float:
-        """How long a client of that class waits where its line does not say."""
-        classes = self.settings.classes
-        return next((one.deadline for one in classes if one.name == class_name), classes[0].deadline)
+    @property
+    def deadlines(self) -> dict[str, float]:
+        """How many ms a client of each class waits at the most."""
+        return {one.name: one.deadline for one in self.settings.classes}
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
@@ -94,6 +95,7 @@
         seed=_seed(raw.get("seed", 0)),
         sockets=min(sockets, _own_limit(sockets)),
         groups=bool(family.get("groups", False)),
+        tenants=_tenants(setup),
         message_aim_ms=float(min(aims, default=MESSAGE_AIM_MS)),
         known=known,
     )
@@ -131,6 +133,14 @@
         raise BadConfig(f"settings: {error}") from error
 
 
+def _tenants(setup: dict[str, Any]) -> frozenset[str]:
+    """All tenants by name; those without a quota of connections are clients too."""
+    try:
+        return frozenset(str(one["name"]) for one in setup.get("tenants") or [])
+    except (KeyError, TypeError) as error:
+        raise BadConfig("settings.tenants: must be a list of objects with a name") from error
+
+
 def _seed(value: Any) -> int:
     if isinstance(value, int) and not isinstance(value, bool):
         return value
--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -22,15 +22,21 @@
 )
 from snowwick.net.destination import Destination, Over, Up
 from snowwick.net.loop import READ, TIME, Steps, Wait
-from snowwick.net.peer import End, LinePeer, Lines, prepare
+from snowwick.net.peer import GRACE, End, LinePeer, prepare
 
 if TYPE_CHECKING:
     from snowwick.net.service import Service
 
-FIRST_LINE = 10.0  # s that a front socket may stay without an opening line
+FIRST_LINE = 2.0  # s that a front socket may stay without an opening line, whatever else it says
+LINGER = 5.0  # s at most in which the rest of what a client sends is read, once it has its answer
+KEPT = 40.0  # s that a connection which stood before may take to come up again
 MARGIN = 20.0  # ms taken off the client's patience, so that the answer is there in time
 
 
+class MakeRoom:
+    """To a front without a request: end, its descriptor is wanted."""
+
+
 class Front(LinePeer):
     """One client's connection."""
 
@@ -41,7 +47,7 @@
         self.step: Destination | None = None
         self.asked = self.up = False
         self.number = -1
-        self.began = self.until = self.loop.clock()
+        self.accepted = self.began = self.until = self.answered = self.loop.clock()
 
     def run(self) -> Steps:
         try:
@@ -84,35 +90,44 @@
             yield from self.relay()
 
     def _first_line(self) -> Generator[Wait, int, lines.Opening | None]:
-        until = self.loop.clock() + FIRST_LINE
+        until = self.accepted + FIRST_LINE
         self.reason = "no-opening"
         while True:
             # Who asks without reading the answers is read no further: the answers would pile up.
             woke = yield Wait(self.sock, read=not self.full(), write=bool(self.out), until=until)
+            if any(isinstance(message, MakeRoom) for message in self.take()):
+                self.reason = "made-room"
+                return None
             if woke & TIME:
+                if self.inbox:
+                    raise lines.Garbled("no whole line in time")
                 return None
             going = self.receive() if woke & READ else True
             while (line := lines.cut_one(self.inbox)) is not None:
                 word = line.rstrip(b"\r\n")
                 if word == lines.PING:
-                    self.reason, until = "ping", self.loop.clock() + FIRST_LINE
+                    self.reason = "ping"
                     self.out += lines.PONG
                 elif word == b"STATS":
                     self.out += lines.NO
                 else:
-                    return lines.parse_opening(line)
+                    opening = lines.parse_opening(line)
+                    if self.inbox:
+                        raise lines.Garbled("more than an opening line")
+                    self.service.check(opening)
+                    return opening
             self.flush()
             if not going:
                 return None
-            self.mail.clear()
 
     def _ask(self, opening: lines.Opening) -> None:
-        values, config = opening.values, self.service.config
-        name, tenant = values.get("c", ""), values.get("t", "")
-        group = values.get("g", "") if config.groups else ""
-        wait = opening.wait_ms if opening.wait_ms is not None else config.deadline_ms(name)
+        values = opening.values
+        name, tenant = values["c"], values.get("t", "")
+        group = values.get("g", "") if self.service.config.groups else ""
+        wait = float(opening.wait_ms or 0)
         self.began = self.loop.clock()
-        self.until = self.began + wait / 1000.0
+        self.until = self.began + min(wait / 1000.0, KEPT)
+        self.service.asks(self, opening)
         if "at" in values:
             self._take_step(self.service.pool.number(values["at"]), wait)
         else:
@@ -123,7 +138,7 @@
     def _await_answer(self) -> Generator[Wait, int, bytes | None]:
         """Wait for the one final answer, making the route steps that the decider asks for."""
         while True:
-            woke = yield Wait(self.sock, read=len(self.inbox) < lines.MAX_LINE, until=self.until)
+            woke = yield Wait(self.sock, read=True, until=self.until)
             for message in self.take():
                 if isinstance(message, RouteStep):
                     left = wait_left(self)
@@ -146,6 +161,8 @@
             if woke & READ and not self.receive():
                 self.reason = "left"
                 return None
+            if self.inbox:
+                raise lines.Garbled("sent before its answer")
             if woke & TIME:
                 # The decider answers before this; a fault in it must not leave the client without.
                 self.reason = "overdue"
@@ -181,9 +198,6 @@
             self.service.decider.post(Kept(
                 self, values.get("c", ""), self.number, self.opening.key,
                 group if self.service.config.groups else "", values.get("t", "")))
-        rest = lines.cut(self.inbox)
-        if rest:
-            self.tell(Lines(rest))
         self.flush()
 
     def _step_over(self, outcome: Outcome, elapsed: float, final: bool) -> None:
@@ -195,17 +209,27 @@
         """Send the final answer and end the connection; what the client still sends is passed over."""
         self._leave()
         self.asked = False
+        self.service.asks_no_more(self)
+        self.inbox.clear()
         self.out += line
         self.closing, self.other = True, None
+        self.answered = self.loop.clock()
         self.start_grace()
         try:
             self.flush()
             yield from self.relay()
-        except (OSError, lines.Garbled):
+        except OSError:
             pass  # answered; the client may have gone meanwhile
 
+    def still_sending(self) -> None:
+        """Who sends 60 MB may read the answer only after the last of them: there is more grace till then."""
+        if self.other is None:
+            self.grace = min(self.loop.clock() + GRACE, self.answered + LINGER)
+
     def on_mail(self, message: object) -> None:
-        if isinstance(message, MoveAway):
+        if isinstance(message, MakeRoom):
+            self.read_done = self.write_done = self.read_done or self.other is None
+        elif isinstance(message, MoveAway):
             if not self.closing:
                 self.reason, self.closing = message.reason, True
                 self.out += lines.MOVE  # `out` holds whole lines only
--- a/snowwick/net/lines.py
+++ b/snowwick/net/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -11,6 +12,15 @@
 PING, PONG, MOVE, ERR, NO = b"PING", b"PONG\r\n", b"MOVE\r\n", b"ERR\r\n", b"NO\r\n"
 _WAIT = re.compile(rb"(?<=[ ,])d=\d+(?=,|\r\n$)")
 _WORD = re.compile(r"[!-~]+")
+_NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_.-]{0,31}")
+_FORMS = {  # of the values whose meaning is known; further figures may follow under names of their own
+    "d": re.compile(r"\d{1,10}"),
+    "r": re.compile(r"[01]"),
+    "again": re.compile(r"[01]"),
+    "h": re.compile(r"\d{1,12}(\.\d{1,12})?([eE][-+]?\d{1,2})?"),
+}
+LONGEST_NAME = 128  # of an id, a key or a group: what is kept of a client must stay small
+PATIENCE = 2.0  # times its class's deadline that a client may say it waits
 
 
 class Garbled(Exception):
@@ -75,17 +85,39 @@
         raise Garbled("not ASCII") from error
     if len(words) != 4 or words[0] != "OPEN" or not all(_WORD.fullmatch(word) for word in words):
         raise Garbled("not OPEN ID KEY VALUES")
+    if max(len(words[1]), len(words[2])) > LONGEST_NAME:
+        raise Garbled("id or key too long")
     values: dict[str, str] = {}
     for pair in words[3].split(","):
         name, equals, value = pair.partition("=")
-        if not name or not equals or name in values:
+        if not _NAME.fullmatch(name) or not equals or not value or name in values:
             raise Garbled("values are not name=value, each once")
+        if name in _FORMS and not _FORMS[name].fullmatch(value):
+            raise Garbled(f"{name} is not in its form")
         values[name] = value
-    if "d" in values and not re.fullmatch(r"\d{1,9}", values["d"]):
-        raise Garbled("d is not a number of milliseconds")
+    if max(len(values.get("g", "")), len(values.get("at", ""))) > LONGEST_NAME:
+        raise Garbled("g or at too long")
     return Opening(line, words[1], words[2], values)
 
 
+def check_opening(opening: Opening, deadlines: Mapping[str, float], tenants: Collection[str]) -> None:
+    """Raise Garbled for what no usual client sends.
+
+    Guards against destinations that turn it away and would then seem to be in trouble.  ``deadlines`` holds
+    the ms of each class.  A connection that is kept may wait as long as it likes.
+    """
+    values = opening.values
+    deadline = deadlines.get(values.get("c", ""))
+    if deadline is None:
+        raise Garbled("no class of the settings")
+    if tenants and values.get("t") not in tenants:
+        raise Garbled("no tenant of the settings")
+    if opening.wait_ms is None:
+        raise Garbled("d is missing")
+    if "at" not in values and opening.wait_ms > PATIENCE * deadline:
+        raise Garbled("d is longer than any client waits")
+
+
 def with_wait(line: bytes, wait_ms: float) -> bytes:
     """The same line but for the value of ``d``: destinations accept no other change."""
     return _WAIT.sub(b"d=%d" % max(1, int(wait_ms)), line, count=1)
--- a/snowwick/net/loop.py
+++ b/snowwick/net/loop.py
@@ -78,6 +78,7 @@
         self.owners: dict[int, Actor] = {}
         self.actors: set[Actor] = set()
         self.ready: deque[Actor] = deque()
+        self.sockets = 0  # held by peers, whatever they do with them: what descriptors are counted by
         self.stopped = False
 
     def run(self) -> None:
--- a/snowwick/net/peer.py
+++ b/snowwick/net/peer.py
@@ -12,7 +12,7 @@
 from snowwick.net.loop import MAIL, READ, TIME, WRITE, Actor, Loop, Steps, Wait
 
 CHUNK = 16384  # bytes read at a time
-HIGH = 65536  # bytes waiting to be written at which the other side is no longer read
+HIGH = 16384  # bytes waiting to be written at which the other side is no longer read
 GRACE = 0.5  # s that one side may stay open once the other has ended: the protocol allows one second
 
 
@@ -34,12 +34,16 @@
     """The other side has written what was waiting."""
 
 
+SCRATCH = bytearray(65536)  # what is read only to be passed over
+
+
 class LinePeer(Actor):
     """One end of a connection that lines pass through."""
 
     def __init__(self, loop: Loop, sock: socket.socket) -> None:
         super().__init__(loop)
         self.sock = sock
+        loop.sockets += 1
         self.inbox, self.out = bytearray(), bytearray()
         self.other: LinePeer | None = None
         self.closing = self.read_done = self.write_done = False
@@ -99,17 +103,35 @@
         return False
 
     def pass_on(self) -> None:
-        going = self.receive()
-        data = lines.cut(self.inbox) if going else bytes(self.inbox)
-        if data and not self.closing:
-            self.saw(data)
-            self.tell(Lines(data))
+        if self.closing:
+            going = self.pass_over()
+        else:
+            going = self.receive()
+            data = lines.cut(self.inbox) if going else bytes(self.inbox)
+            if data:
+                self.saw(data)
+                self.tell(Lines(data))
         if not going:
             self.read_done = True
             self.ended_first()
             self.tell(End())
             self.start_grace()
 
+    def pass_over(self) -> bool:
+        """Read what nobody wants any more; False at the end.
+
+        Guards against a close that becomes a reset and eats the last line sent: a client may send far more
+        than it should before it reads.
+        """
+        with contextlib.suppress(BlockingIOError):
+            if not self.sock.recv_into(SCRATCH):
+                return False
+            self.still_sending()
+        return True
+
+    def still_sending(self) -> None:
+        """The other end goes on sending after this side has said its last."""
+
     def saw(self, data: bytes) -> None:
         """Lines came in on this side."""
 
@@ -134,8 +156,10 @@
             self.grace = self.loop.clock() + GRACE
 
     def shut(self) -> None:
-        self.loop.release(self)
-        self.sock.close()
+        if self.sock.fileno() >= 0:
+            self.loop.release(self)
+            self.sock.close()
+            self.loop.sockets -= 1
 
 
 def prepare(sock: socket.socket) -> socket.socket:
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -8,20 +8,27 @@
 import time
 from collections.abc import Callable
 from dataclasses import fields, replace
+from itertools import islice
 
 from crowgap.interface import ListKind
 from snowwick.config import LIVE, BadConfig, Config, reload
 from snowwick.log import Log
+from snowwick.net import lines
 from snowwick.net.decider import Decider, MoveAway
-from snowwick.net.front import Front
+from snowwick.net.front import Front, MakeRoom
 from snowwick.net.gauge import Gauge
 from snowwick.net.loop import Actor, Loop, Steps, Wait
 from snowwick.net.peer import CHUNK
 from snowwick.net.pool import CallFailed, NewAddress, Pool, WatchPool
 
 BACKLOG = 1024
-OWN_SOCKETS = 24  # kept for the program itself and for answering clients who get a busy reply
+OWN_SOCKETS = 12  # kept for the program itself: standard streams, epoll, signals, listening, discovery
+ANSWERING = 8  # kept for giving a busy reply to those for whom there is no route step
+ACCEPTS = 16  # connections taken a turn: the others' turn must come between
+WAITING_PART = 0.5  # of the sockets that are free of requests, how much those without one may hold
+SETTLE = 0.05  # s in which a front socket that has just been taken is not ended to make room
 PAUSE = 0.05  # s without accepting after accept has failed or sockets have run out
+TURN = 0.005  # s without accepting until one that was ended for room has left
 STILL_COMING = 0.5  # s after SIGTERM in which new connections are answered
 LONGEST, AFTER = 3.0, 0.4  # s: patience counts up to that much at the end, and what is allowed beyond
 
@@ -38,21 +45,22 @@
     def run(self) -> Steps:
         while True:
             yield Wait(self.sock, read=True)
-            while self.service.room_to_accept():
+            for _ in range(ACCEPTS):
+                if not self.service.make_room():
+                    yield from self._pause(TURN)
+                    break
                 try:
                     self.service.welcome(self.sock.accept()[0])
                 except BlockingIOError:
                     break
                 except OSError as error:
                     self.loop.log.line(f"accept: {error}")
-                    yield from self._pause()
+                    yield from self._pause(PAUSE)
                     break
-            else:
-                yield from self._pause()
 
-    def _pause(self) -> Steps:
-        """Guards against spinning: after a failed accept the listening socket is still readable."""
-        until = self.loop.clock() + PAUSE
+    def _pause(self, wait: float) -> Steps:
+        """Guards against spinning: where accept fails or must wait, the listening socket stays readable."""
+        until = self.loop.clock() + wait
         while self.loop.clock() < until:
             yield Wait(until=until)
 
@@ -87,6 +95,10 @@
         self.log = self.loop.log
         self.random = random.Random(config.seed)
         self.fronts: set[Front] = set()
+        self.idle: dict[Front, None] = {}  # without a request to answer, the longest-waiting first
+        self.ids: dict[str, Front] = {}  # of the requests and connections that are open
+        self.limit = config.sockets - OWN_SOCKETS
+        self.deadlines = config.deadlines
         self.draining = False
         self.offset_ms = 1000.0 * (time.time() - self.loop.clock())
         self.decider = Decider(self.loop, config.settings, config.seed, self.now_ms,
@@ -162,22 +174,51 @@
     def welcome(self, sock: socket.socket) -> None:
         front = Front(self, sock)
         self.fronts.add(front)
+        self.idle[front] = None
         front.start()
 
+    def check(self, opening: lines.Opening) -> None:
+        """Raise Garbled for an opening that no usual client sends."""
+        lines.check_opening(opening, self.deadlines, self.config.tenants)
+        if opening.id in self.ids:
+            raise lines.Garbled("id is open already")
+
+    def asks(self, front: Front, opening: lines.Opening) -> None:
+        """The front has a request now."""
+        self.idle.pop(front, None)
+        self.ids[opening.id] = front
+
+    def asks_no_more(self, front: Front) -> None:
+        """The front's request and its connection are over; its socket may have to stay a little."""
+        if front.opening is not None and self.ids.get(front.opening.id) is front:
+            del self.ids[front.opening.id]
+            self.idle[front] = None
+
     def ended(self, front: Front) -> None:
+        self.asks_no_more(front)
         self.fronts.discard(front)
+        self.idle.pop(front, None)
         opening = front.opening
         self.log.line(f"{opening.id if opening else '-'} {front.reason} "
                       f"{self.loop.clock() - front.began:.3f}s to={front.number} {front.detail}".rstrip())
 
-    def sockets_used(self) -> int:
-        return sum(1 if front.step is None else 2 for front in self.fronts)
-
     def short_of_sockets(self) -> bool:
-        return self.sockets_used() + 1 > self.config.sockets - OWN_SOCKETS
-
-    def room_to_accept(self) -> bool:
-        return self.sockets_used() < self.config.sockets - OWN_SOCKETS // 2
+        """Is there no room for a route step?"""
+        return self.loop.sockets >= self.limit - ANSWERING
+
+    def make_room(self) -> bool:
+        """May one more be accepted?  Else the fronts that wait longest without a request have to go.
+
+        Guards against floods of clients that connect and say nothing: usual clients, who ask at once, must
+        find both a front socket and one for the route step.
+        """
+        free = self.limit - (self.loop.sockets - len(self.idle))
+        if len(self.idle) < max(ANSWERING, WAITING_PART * free) and self.loop.sockets < self.limit:
+            return True
+        for front in islice(self.idle, ACCEPTS):
+            if self.loop.clock() - front.accepted >= SETTLE:
+                front.post(MakeRoom())
+        return False
 
     def come_again_ms(self) -> float:
         """When a client that gets a busy reply without a decision should return: spread, not in step."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -113,6 +113,22 @@
     assert send.backend in {place(bench, n, f"g{n}") for n in range(100, 150)}
 
 
+def test_error_counts_only_where_another_backend_served() -> None:
+    """A malformed request, tried at three backends, made all of them look ill and throttled the rest."""
+    bench = Bench(max_attempts=3)
+    for n in range(30):
+        actions = bench.ask(n, f"k{n}")
+        while sends := [a for a in actions if isinstance(a, i.Send)]:
+            actions = bench.end(sends[0], i.Outcome.ERROR)
+        bench.run(bench.now + 50.0)
+    assert not bench.balancer.throttle.on and all(b.slow == 0.0 for b in bench.balancer.rows)
+    (first,) = [a for a in bench.ask(100, "k") if isinstance(a, i.Send)]
+    (second,) = [a for a in bench.end(first, i.Outcome.ERROR) if isinstance(a, i.Send)]
+    assert bench.balancer.backends[first.backend].slow == 0.0
+    bench.stand(second)
+    assert [b.id for b in bench.balancer.rows if b.slow] == [first.backend]
+
+
 def test_slow_backend_makes_room_in_the_same_order_everywhere() -> None:
     moved: list[set[str]] = []
     for seed in (1, 2):
