Move the clients of a server that leaves; skip one that answers errors

Where it lost, the throttle of one balancer was on from 11.3 s: 40 clients refused or held 1.1 s while setups took 2 to 6 ms. The two backends in trouble were one that drained and cut its 25 connections off 2.4 s after the list said so (no MOVE came from it), and one that answered each new connection with an ERR in 1 ms and went on being asked first. Neither is overload; the servers' own setups ruled that out.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -39,6 +39,7 @@
 PACE, PACED = 0.1, 8  # part that a new setup time counts for; setups at a backend before its pace counts
 CROWDED, SHED = 1.1, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
+LEAVE = 2000.0  # ms over which the clients of a backend that leaves are moved
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
 
 
@@ -49,15 +50,16 @@
 class Backend:
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
-    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "level", "level_at", "load",
-                 "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups", "slow", "slow_at",
-                 "told", "weight")
+    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "level", "level_at",
+                 "load", "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups", "slow",
+                 "slow_at", "told", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
         self.hash = _hash(str(entry.backend))
         self.down_until = self.slow_at = self.level_at = self.rejected_at = -math.inf
         self.fails, self.level, self.rejected, self.slow = 0, 0.0, 0.0, 0.0
+        self.leaving = math.inf  # when the list said that it drains or is gone
         self.flows: dict[int, Flow] = {}
         self.open, self.told, self.load = 0, 0, 0.0  # open connections, those whose load is told, its sum
         self.groups: dict[int, int] = {}  # open connections a group
@@ -176,6 +178,7 @@
             if entry.started != b.entry.started:
                 b.down_until, b.level, b.fails = -math.inf, 0.0, 0
             b.entry = entry
+            b.leaving = math.inf if entry.state is i.State.READY else min(b.leaving, self.now)
             if entry.state is i.State.READY:
                 self._rank_in(b, 1.0 if self.settings.live_weights or entry.weight <= 0 else entry.weight)
         if self.unit == math.inf and self.rows and self.quotas:
@@ -416,6 +419,15 @@
                 other.since = self.now
                 self.out.append(i.Move(other.id))
 
+    def _empty(self) -> None:
+        """Move the clients of backends that leave: not all do it themselves before they cut them off."""
+        for b in self.backends.values():
+            if b.flows and not b.ready and self.now >= b.leaving:
+                part = (self.now - b.leaving + PERIOD) / LEAVE
+                for flow in b.flows.values():
+                    if flow.open and self.random.random() < part:
+                        self.out.append(i.Move(flow.id))
+
     def _level_out(self) -> None:
         """Bound the fill of each backend: hashing alone lets a few large groups meet on one of them.
 
@@ -463,15 +475,15 @@
 
     def _judge(self, b: Backend, outcome: i.Outcome, was_open: bool) -> None:
         """A backend's own troubles are its own: skip it for a while; the monitor sees only how many."""
-        if outcome in (i.Outcome.OK, i.Outcome.CANCELLED, i.Outcome.UNSENT):
-            return
+        if outcome in (i.Outcome.OK, i.Outcome.CANCELLED, i.Outcome.UNSENT) or self.now >= b.leaving:
+            return  # what a backend drops as it leaves is no trouble
         b.slow_at, b.slow = self.now, 1.0
-        self.failed += not was_open
+        self.failed += not was_open and outcome is not i.Outcome.ERROR  # errors come from no overload
         b.rejected, b.rejected_at = self._rejected(b) + 1, self.now
         if outcome is i.Outcome.FULL:
             self._raise_level(b, YIELD)
             b.down_until = self.now + 200.0 * self._jitter()
-        elif outcome is not i.Outcome.ERROR:
+        else:
             b.fails = min(b.fails + 1, 5)
             self._raise_level(b, YIELD * was_open)  # backends drop connections when too much is piled up
             away = self.settings.connect_timeout * 2.0 ** b.fails * self._jitter()
@@ -524,6 +536,7 @@
         """
         self._timer(PERIOD, 1)
         self._level_out()
+        self._empty()
         bad = [b for b in self.active.values() if self.now - b.slow_at < SLOW_FOR]
         used = [b for b in self.active.values() if b.ready and b.down_until <= self.now]
         part = sum(b.slow for b in bad if b in used) / max(1, len(used))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -128,6 +128,40 @@
     assert lost and not bench.balancer.throttle.on
 
 
+def test_clients_of_a_leaving_backend_are_moved_over_two_seconds() -> None:
+    """Not all servers send their clients away as they drain: some cut them off seconds later."""
+    bench = Bench(backends=3)
+    for n in range(60):
+        for action in bench.ask(n, f"k{n}"):
+            if isinstance(action, i.Send):
+                bench.stand(action)
+    sends = bench.all(i.Send)
+    leaves = sends[0].backend
+    held = {a.request for a in sends if a.backend == leaves}
+    bench.put(i.ListUpdate(i.ListKind.CHANGES, [i.BackendEntry(leaves, i.State.DRAINING)]))
+    bench.run(bench.now + 999.0)
+    first = {a.request for a in bench.all(i.Move)}
+    bench.run(bench.now + 1001.0)
+    assert first < held == {a.request for a in bench.all(i.Move)}
+    for request in held:  # what it cuts off on its way out is no trouble of the others
+        bench.put(i.Ended(request, 0, leaves, i.Outcome.RESET, 5.0, True))
+    assert bench.balancer.backends[leaves].slow == 0.0
+
+
+def test_backend_that_answers_errors_is_skipped_and_throttles_nothing() -> None:
+    """One that answered each new connection with an error in a millisecond went on being asked first."""
+    bench = Bench(backends=5, max_attempts=3)
+    asked: list[int] = []
+    for n in range(100):
+        actions = bench.ask(n, "k")
+        while sends := [a for a in actions if isinstance(a, i.Send)]:
+            asked.append(sends[0].backend)
+            actions = bench.end(sends[0], i.Outcome.ERROR) if sends[0].backend <= 2 else bench.stand(sends[0])
+        bench.run(bench.now + 50.0)
+        assert not bench.balancer.throttle.on
+    assert len([b for b in asked if b <= 2]) < 25
+
+
 def test_error_counts_only_where_another_backend_served() -> None:
     """A malformed request, tried at three backends, made all of them look ill and throttled the rest."""
     bench = Bench(max_attempts=3)
