Tell a hang after half a second without an answer and move all its clients at once

At fault: gauge.py looked once a second, policy.py _on_note moved a part a note whatever had been seen. Guards: where most destinations seem silent the program itself was held up; unanswered lines kept are bounded.

--- a/crowgap/interface.py
+++ b/crowgap/interface.py
@@ -192,6 +192,13 @@
     load: float
 
 
+@dataclass(slots=True)
+class Silent:
+    """Nothing comes back from a backend on any connection, though messages wait on several."""
+
+    backend: int
+
+
 @dataclass(slots=True)
 class Ended:
     """An attempt is over; ``closed`` says that the client has its final answer."""
@@ -218,7 +225,7 @@
     token: int
 
 
-Event = ListUpdate | Request | Carried | Established | DelayNote | LoadNote | Ended | Gone | TimerDue
+Event = ListUpdate | Request | Carried | Established | DelayNote | LoadNote | Silent | Ended | Gone | TimerDue
 
 
 @dataclass(slots=True)
--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -50,9 +50,9 @@
 class Backend:
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
-    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "level", "level_at",
-                 "load", "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups", "slow",
-                 "slow_at", "told", "weight")
+    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "level",
+                 "level_at", "load", "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups",
+                 "slow", "slow_at", "told", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
@@ -140,7 +140,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.ListUpdate: self._on_list, i.Request: self._on_request, i.Carried: self._on_carried,
             i.Established: self._on_established, i.DelayNote: self._on_note, i.LoadNote: self._on_load,
-            i.Ended: self._on_ended, i.Gone: self._on_gone,
+            i.Silent: self._on_silent, i.Ended: self._on_ended, i.Gone: self._on_gone,
             i.TimerDue: lambda e: self.timers.get(e.token, lambda: None)()}
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -409,6 +409,14 @@
         # every balancer holds one connection.  In overload moves shed load, so the dear go less.
         self._thin_out(b, self.move * hurt)
 
+    def _on_silent(self, e: i.Silent) -> None:
+        """One that is slow answers late, this one answers nobody: all leave it and nothing new goes there."""
+        b = self.backends.get(e.backend)
+        if b is not None:
+            if b.down_until <= self.now:
+                self._skip(b)
+            self._thin_out(b, 1.0)
+
     def _thin_out(self, b: Backend, part: float) -> None:
         """Move about this part of a backend's connections to where they would go now."""
         for other in b.flows.values():
@@ -484,10 +492,14 @@
             self._raise_level(b, YIELD)
             b.down_until = self.now + 200.0 * self._jitter()
         else:
-            b.fails = min(b.fails + 1, 5)
             self._raise_level(b, YIELD * was_open)  # backends drop connections when too much is piled up
-            away = self.settings.connect_timeout * 2.0 ** b.fails * self._jitter()
-            b.down_until = max(b.down_until, self.now + away)
+            self._skip(b)
+
+    def _skip(self, b: Backend) -> None:
+        """Nothing new goes to it for a while that doubles with each failure, until it serves again."""
+        b.fails = min(b.fails + 1, 5)
+        away = self.settings.connect_timeout * 2.0 ** b.fails * self._jitter()
+        b.down_until = max(b.down_until, self.now + away)
 
     def _on_gone(self, e: i.Gone) -> None:
         flow = self.flows.get(e.request)
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -88,6 +88,13 @@
     delay: float
 
 
+@dataclass(slots=True)
+class Silent:
+    """No line comes back from a destination on any connection, though lines wait there."""
+
+    destination: int
+
+
 @dataclass(slots=True)
 class Load:
     """The work a second that a connection asks of its destination now."""
@@ -160,6 +167,8 @@
             return i.Request(self._number(m.client, 0), m.class_name, m.patience, m.key, m.group, m.tenant)
         if isinstance(m, Kept):
             return i.Carried(self._number(m.client, 1), m.class_name, m.destination, m.key, m.group, m.tenant)
+        if isinstance(m, Silent):
+            return i.Silent(m.destination)
         assert isinstance(m, StepUp | StepEnded | Left | Slow | Load)
         number = self.numbers.get(m.client)
         if number is None:
--- a/snowwick/net/gauge.py
+++ b/snowwick/net/gauge.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from snowwick.net.decider import Client, Slow
+from snowwick.net.decider import Client, Silent, Slow
 from snowwick.net.loop import Actor, Loop, Steps, Wait
 
-PERIOD = 1.0  # s between notes, and how long an answered line counts
+PERIOD = 1.0  # s between notes of one destination, and how long an answered line counts
+LOOK = 0.25  # s between looks: a hang must show well before the next note of a delay
+SILENT, ALONE = 0.5, 1.5  # s without an answer that make a hang, where several lines wait, and where one does
+MOST_KEPT = 1024  # unanswered lines that a connection is timed by
 
 
 @dataclass(slots=True, eq=False)
@@ -23,7 +26,8 @@
     took: float | None = None
 
     def sent(self, now: float, count: int) -> None:
-        self.asked.extend([now] * count)
+        # Bounded: a client may send at full speed to a destination that answers nothing.
+        self.asked.extend([now] * min(count, MOST_KEPT - len(self.asked)))
 
     def answered(self, now: float) -> None:
         self.heard = now
@@ -47,16 +51,25 @@
     return delay, meters[at].client
 
 
+def is_silent(meters: list[Meter], now: float) -> bool:
+    """Does the destination answer nobody, though it is asked?"""
+    heard = max(meter.heard for meter in meters)
+    waiting = [meter.asked[0] for meter in meters if meter.asked and meter.asked[-1] >= heard]
+    return bool(waiting) and now - max(heard, min(waiting)) >= (SILENT if len(waiting) > 1 else ALONE)
+
+
 class Gauge(Actor):
-    """Once a second, tells the decider of each destination whose messages take long, and once of recovery."""
+    """Tells the decider, once a second, of each destination whose messages take long or do not come back,
+    and once of recovery."""
 
     lasting = True
 
-    def __init__(self, loop: Loop, tell: Callable[[Slow], None], shortest_aim_ms: float) -> None:
+    def __init__(self, loop: Loop, tell: Callable[[Slow | Silent], None], shortest_aim_ms: float) -> None:
         super().__init__(loop)
         self.tell, self.limit = tell, shortest_aim_ms / 3000.0
         self.meters: dict[int, set[Meter]] = {}
         self.slow: set[int] = set()
+        self.silent: dict[int, float] = {}  # those that answer nobody, and when that was told
 
     def add(self, client: Client, destination: int) -> Meter:
         meter = Meter(client, destination, heard=self.loop.clock())
@@ -69,15 +82,28 @@
         if not held:
             self.meters.pop(meter.destination, None)
             self.slow.discard(meter.destination)
+            self.silent.pop(meter.destination, None)
 
     def run(self) -> Steps:
         due = self.loop.clock() + PERIOD
         while True:
-            yield Wait(until=due)
+            look = self.loop.clock() + LOOK
+            yield Wait(until=min(due, look))
+            self.look_for_silence()
             if self.loop.clock() >= due:
                 due = max(due + PERIOD, self.loop.clock())
                 self.look()
 
+    def look_for_silence(self) -> None:
+        """Tell of those that hang.  Where most do, it is rather this program that was held up."""
+        now = self.loop.clock()
+        silent = [one for one, meters in self.meters.items() if is_silent(list(meters), now)]
+        self.silent = {one: self.silent.get(one, -PERIOD) for one in silent}
+        for destination in silent:
+            if 2 * len(silent) <= len(self.meters) and now - self.silent[destination] >= PERIOD:
+                self.silent[destination] = now
+                self.tell(Silent(destination))
+
     def look(self) -> None:
         now = self.loop.clock()
         for destination, meters in list(self.meters.items()):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,8 +12,9 @@
 import pytest
 from wire import World, address
 
-from snowwick.net.decider import PoolNews, Slow
-from snowwick.net.gauge import Meter, message_delay
+from snowwick.net.decider import PoolNews, Silent, Slow
+from snowwick.net.gauge import MOST_KEPT, Gauge, Meter, is_silent, message_delay
+from snowwick.net.loop import Loop
 from snowwick.net.pool import WatchPool, number_of
 from snowwick.net.service import Acceptor
 
@@ -352,6 +353,32 @@
     assert found is not None and found[0] < 0.02
 
 
+def test_hang_is_told_within_a_second_unless_most_seem_to_hang() -> None:
+    """Clients of one that hung were moved a part a second, though nothing at all came back from it."""
+    meters = [Meter(Nobody(), 1), Meter(Nobody(), 1)]
+    for n, meter in enumerate(meters):
+        meter.sent(9.0 + n, 1)
+    assert is_silent(meters, 10.1) and not is_silent(meters, 9.4)
+    meters[0].answered(9.9)
+    assert not is_silent(meters, 10.2)
+    meters[0].sent(10.0, 1)
+    meters[0].sent(10.0, 10 ** 9)
+    assert is_silent(meters, 11.6) and len(meters[0].asked) == MOST_KEPT
+
+    told: list[object] = []
+    gauge = Gauge(Loop(clock=lambda: 50.0), told.append, 50.0)
+    for destination in (1, 1, 2, 2, 3):
+        gauge.add(Nobody(), destination).sent(50.0, 1)
+    gauge.loop.clock = lambda: 50.6
+    gauge.look_for_silence()
+    assert not told  # two of three at once: rather this program was held up
+    for meter in gauge.meters[2]:
+        meter.answered(50.6)
+    gauge.look_for_silence()
+    gauge.look_for_silence()
+    assert told == [Silent(1)]
+
+
 def test_slow_destination_is_told_once_a_second_and_once_when_it_is_well(world: World) -> None:
     """The wire has no note of a delay: a line that waits must count before it is answered."""
     world.play(UP)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -162,6 +162,22 @@
     assert len([b for b in asked if b <= 2]) < 25
 
 
+def test_all_leave_a_silent_backend_and_nothing_new_goes_there() -> None:
+    bench = Bench(backends=4)
+    for n in range(40):
+        for action in bench.ask(n, f"k{n}"):
+            if isinstance(action, i.Send):
+                bench.stand(action)
+    held = {a.request for a in bench.all(i.Send) if a.backend == 1}
+    bench.run(bench.now + 3000.0)
+    bench.actions.clear()
+    bench.put(i.Silent(1))
+    assert held and {a.request for a in bench.all(i.Move)} == held
+    for n in range(100, 140):
+        bench.ask(n, f"k{n}")
+    assert all(a.backend != 1 for a in bench.all(i.Send))
+
+
 def test_error_counts_only_where_another_backend_served() -> None:
     """A malformed request, tried at three backends, made all of them look ill and throttled the rest."""
     bench = Bench(max_attempts=3)
