Bound what the module keeps of keys and machines; ask discovery earlier and again sooner

Seen in review: 5,000 groups with up to 32 ranks each and every backend ever listed stayed in memory; discovery was first asked up to 4 s after a start, on a list that may be old, and after failures only every 10 s (up to 15 s with jitter). Discovery takes 3 to 5 calls a second, so two balancers need no spread of 4 s. At fault: policy.py _group, _on_list.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -18,6 +18,7 @@
 
 M64 = (1 << 64) - 1
 GOLDEN = 0x9E3779B97F4A7C15  # odd 64-bit multiplier: a second hash, independent of the ranking
+KEPT = 1000  # groups remembered
 HEAD = 32  # ranks kept per key: a group's spread and what failures may skip
 TOTAL = 10.0  # C_J + C_T: Berger IV.A finds 10 enough for a robust throughput
 FEW = 1.0  # tokens at turn-on, so that a true overload is throttled at once
@@ -88,7 +89,7 @@
         self.attempts, self.pending, self.open, self.backend, self.since = 0, False, False, -1, 0.0
         self.load = -1.0  # not told yet
         self.tried: set[int] = set()
-        self.unsure: list[tuple[int, float]] = []  # attempts that may have run: backend, time sent
+        self.unsure: list[tuple[Backend, float]] = []  # attempts that may have run: backend, time sent
         self.erred: list[Backend] = []  # answered with an error: its fault or the request's
 
 
@@ -157,13 +158,14 @@
         return 0.5 + self.random.random()
 
     def _on_list(self, e: i.ListUpdate) -> None:
+        ask_every = self.settings.ask_every
         if not self.looking:
             self.looking = True
             self._timer(PERIOD * self._jitter(), 1)
             if self.settings.must_ask:  # all start or restart together: spread the calls on the list service
-                self._timer(0.4 * self.settings.ask_every * self.random.random(), 2)
+                self._timer(min(0.04 * self.settings.balancers, 0.4) * ask_every * self.random.random(), 2)
         if e.kind is i.ListKind.FAILED:
-            self.backoff = min(2 * self.backoff, self.settings.ask_every)
+            self.backoff = min(2 * self.backoff, 0.2 * ask_every)
             self._timer(self.backoff * self._jitter(), 2)
             return
         self.backoff = PERIOD
@@ -181,6 +183,10 @@
             b.leaving = math.inf if entry.state is i.State.READY else min(b.leaving, self.now)
             if entry.state is i.State.READY:
                 self._rank_in(b, 1.0 if self.settings.live_weights or entry.weight <= 0 else entry.weight)
+        if len(self.backends) > 2 * len(self.rows) + HEAD:  # ids come and go with the machines
+            self.backends = {b.id: b for b in self.backends.values() if b.ready or b.flows}
+            for group in [*self.groups.values(), *(flow.group for flow in self.flows.values())]:
+                group.head = []
         if self.unit == math.inf and self.rows and self.quotas:
             fleet = sum(self.quotas.values()) * self.settings.balancers / QUOTAS
             self.unit = fleet / sum(b.weight for b in self.rows)
@@ -222,8 +228,8 @@
     def _group(self, key: str) -> Group:
         if not key:
             return Group(self.random.getrandbits(64) | 1)
-        if len(self.groups) >= 5000:
-            self.groups.clear()  # keys come and go: the cache must not grow without end
+        if len(self.groups) >= KEPT:  # keys come and go: the cache must not grow without end
+            self.groups = dict(sorted(self.groups.items(), key=lambda row: -row[1].at)[:KEPT // 2])
         key_hash = _hash(key)
         return self.groups.get(key_hash) or self.groups.setdefault(key_hash, Group(key_hash))
 
@@ -300,7 +306,7 @@
         cls, key = flow.cls, {i.Scope.ALL: "", i.Scope.ZONE: "zone", i.Scope.CELL: "cell"}[flow.cls.scope]
         return not flow.unsure or cls.effect is i.Effect.SAFE or (cls.effect is i.Effect.KEYED and all(
             self.now + self.settings.tick < sent + cls.memory
-            and (not key or getattr(self.backends[first].entry, key) == getattr(b.entry, key))
+            and (not key or getattr(first.entry, key) == getattr(b.entry, key))
             for first, sent in flow.unsure))
 
     def _make(self, e: i.Request | i.Carried, deadline: float) -> Flow:
@@ -411,8 +417,7 @@
 
     def _on_silent(self, e: i.Silent) -> None:
         """One that is slow answers late, this one answers nobody: all leave it and nothing new goes there."""
-        b = self.backends.get(e.backend)
-        if b is not None:
+        if b := self.backends.get(e.backend):
             if b.down_until <= self.now:
                 self._skip(b)
             self._thin_out(b, 1.0)
@@ -432,9 +437,7 @@
         for b in self.backends.values():
             if b.flows and not b.ready and self.now >= b.leaving:
                 part = (self.now - b.leaving + PERIOD) / LEAVE
-                for flow in b.flows.values():
-                    if flow.open and self.random.random() < part:
-                        self.out.append(i.Move(flow.id))
+                self.out += [i.Move(f.id) for f in b.flows.values() if f.open and self.random.random() < part]
 
     def _level_out(self) -> None:
         """Bound the fill of each backend: hashing alone lets a few large groups meet on one of them.
@@ -474,7 +477,7 @@
             return
         flow.tried.add(b.id)
         if e.outcome not in UNRUN:
-            flow.unsure.append((b.id, flow.since))
+            flow.unsure.append((b, flow.since))
         if flow.attempts >= self.settings.max_attempts or e.outcome is i.Outcome.UNSENT \
                 or self.now >= flow.deadline - self._margin(flow):
             self._refuse(flow)
@@ -542,10 +545,7 @@
 
     def _look(self) -> None:
         """The monitor: how many of the backends in use are in trouble decides on the throttle and r.
-
-        One that is skipped drowns in nothing: what it could not keep must be taken in by the others, who
-        are in trouble only if they show it.
-        """
+        One that is skipped drowns in nothing: the others take in its clients, and show it if they cannot."""
         self._timer(PERIOD, 1)
         self._level_out()
         self._empty()
