Take mean and pace of the backends in use only; an UP lifts no later skip

The three left were filled by the hash alone (13 of 17 setups at 14 s to one server), since all were over a bound that followed a mean with two empty servers in it. Pace stood at its limit 1.4 for the good servers of one balancer, as the 116 ms setups of a skipped one were in the usual; an UP that had started before the drops lifted the skip (11 clients sent to a server that dropped them again). At fault: policy.py _level_out (skipped backends in mean and pace), _choose (first rank where all are crowded), _on_established.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -18,8 +18,7 @@
 
 M64 = (1 << 64) - 1
 GOLDEN = 0x9E3779B97F4A7C15  # odd 64-bit multiplier: a second hash, independent of the ranking
-KEPT = 1000  # groups remembered
-HEAD = 32  # ranks kept per key: a group's spread and what failures may skip
+KEPT, HEAD = 1000, 32  # groups remembered; ranks kept of each: a group's spread and what failures may skip
 TOTAL = 10.0  # C_J + C_T: Berger IV.A finds 10 enough for a robust throughput
 FEW = 1.0  # tokens at turn-on, so that a true overload is throttled at once
 HOLD, SHRINK = 2000.0, 8000.0  # ms of overload before the buffer shrinks, and until it is gone
@@ -53,12 +52,12 @@
 
     __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "level",
                  "level_at", "load", "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups",
-                 "slow", "slow_at", "told", "weight")
+                 "skipped", "slow", "slow_at", "told", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
         self.hash = _hash(str(entry.backend))
-        self.down_until = self.slow_at = self.level_at = self.rejected_at = -math.inf
+        self.down_until = self.skipped = self.slow_at = self.level_at = self.rejected_at = -math.inf
         self.fails, self.level, self.rejected, self.slow = 0, 0.0, 0.0, 0.0
         self.leaving = math.inf  # when the list said that it drains or is gone
         self.flows: dict[int, Flow] = {}
@@ -136,8 +135,8 @@
         self.count, self.count_at, self.opened, self.seq, self.usual_worth = 0.0, 0.0, 0, 0, 1.0
         self.good, self.stood, self.failed, self.calm, self.backoff = 0.0, 0.0, 0.0, 0, PERIOD
         self.pump_at, self.looking, self.now, self.out = math.inf, False, 0.0, list[i.Action]()
-        ask: Callable[[], None] = lambda: self.out.append(i.Subscribe())  # noqa: E731
-        self.timers = {0: self._pump, 1: self._look, 2: ask}
+        self.timers: dict[int, Callable[[], None]] = {
+            0: self._pump, 1: self._look, 2: lambda: self.out.append(i.Subscribe())}
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.ListUpdate: self._on_list, i.Request: self._on_request, i.Carried: self._on_carried,
             i.Established: self._on_established, i.DelayNote: self._on_note, i.LoadNote: self._on_load,
@@ -284,8 +283,8 @@
         return b.rejected * math.exp((b.rejected_at - self.now) / max(1.0, self.settings.overload_for))
 
     def _choose(self, flow: Flow) -> Backend | None:
-        group, spread, second = flow.group, self._spread(flow.group), None
-        usable: list[Backend] = []
+        group, spread, usable = flow.group, self._spread(flow.group), list[Backend]()
+        crowded: list[tuple[float, int, Backend]] = []
         if not any(self.backends[row[1]].ready for row in group.head[:HEAD // 2]):
             self._rank(group)
         for _, backend_id in group.head:
@@ -294,12 +293,12 @@
                     or not self._may_repeat(flow, b) or not self._cold_room(b):
                 continue
             if self._yields(flow, b) or self._fill(b, group) > self.bound:
-                second = second or b
+                crowded.append((self._fill(b, group), len(crowded), b))
             elif len(usable) < spread:
                 usable.append(b)
             else:
                 break
-        return usable[flow.pick % len(usable)] if usable else second
+        return usable[flow.pick % len(usable)] if usable else min(crowded)[2] if crowded else None
 
     def _may_repeat(self, flow: Flow, b: Backend) -> bool:
         """No effect twice: after an attempt that may have run, only where its repeat is dropped."""
@@ -378,7 +377,8 @@
         if flow is None or not flow.pending or e.attempt != flow.attempts - 1:
             return
         b = self.backends[flow.backend]
-        b.fails, b.down_until = 0, -math.inf
+        if flow.since > b.skipped:  # one that was on its way as others broke says nothing of it now
+            b.fails, b.down_until = 0, -math.inf
         b.setups += 1
         b.setup += max(PACE, 1.0 / b.setups) * (e.elapsed - b.setup)
         if e.elapsed > flow.cls.aim:
@@ -446,12 +446,13 @@
         bound follows the mean, so that wrong guesses of capacity and of other balancers' part cancel out.
         Weights tell the registered size only: how long setups take shows which backends are slower than that.
         """
-        timed = [b for b in self.rows if b.setups >= PACED and b.setup > 0.0]
+        used = [b for b in self.rows if b.down_until <= self.now]  # the skipped tell nothing of them
+        timed = [b for b in used if b.setups >= PACED and b.setup > 0.0]
         usual = sum(b.setup * b.weight for b in timed) / len(timed) if timed else 0.0
         for b in timed:  # the root: half of a difference is taken for chance
             b.pace = min(1.4, max(0.7, math.sqrt(usual / (b.setup * b.weight))))
-        fills = [(self._fill(b), b) for b in self.rows]
-        weights = sum(b.weight for b in self.rows)
+        fills = [(self._fill(b), b) for b in used]
+        weights = sum(b.weight for _, b in fills)
         mean = sum(fill * b.weight for fill, b in fills) / weights if weights else 0.0
         self.bound = max(SAFE, EVEN * mean)
         for fill, b in fills:
@@ -500,7 +501,7 @@
 
     def _skip(self, b: Backend) -> None:
         """Nothing new goes to it for a while that doubles with each failure, until it serves again."""
-        b.fails = min(b.fails + 1, 5)
+        b.fails, b.skipped = min(b.fails + 1, 5), self.now
         away = self.settings.connect_timeout * 2.0 ** b.fails * self._jitter()
         b.down_until = max(b.down_until, self.now + away)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -178,6 +178,27 @@
     assert all(a.backend != 1 for a in bench.all(i.Send))
 
 
+def test_those_left_share_alike_when_others_have_gone_down() -> None:
+    """With two of five down all others were over the bound, and clients went to one by the hash alone."""
+    tenants = (i.Tenant("north", 100.0),)
+    bench = Bench(backends=5, tenants=tenants)
+    for n in range(60):
+        for action in bench.ask(n, f"k{n // 4}", tenant="north"):
+            if isinstance(action, i.Send):
+                bench.stand(action)
+    sends = {a.request: a for a in bench.all(i.Send)}
+    for action in sends.values():
+        if action.backend in (1, 2):
+            bench.end(action, i.Outcome.RESET, closed=True)
+    bench.run(bench.now + 600.0)
+    for n in range(100, 130):
+        for action in bench.ask(n, f"k{n // 3}", tenant="north"):
+            if isinstance(action, i.Send):
+                bench.stand(action)
+    fills = [bench.balancer._fill(b) for b in bench.balancer.rows if b.id > 2]
+    assert max(fills) < 1.25 * min(fills)
+
+
 def test_error_counts_only_where_another_backend_served() -> None:
     """A malformed request, tried at three backends, made all of them look ill and throttled the rest."""
     bench = Bench(max_attempts=3)
