Let quick resets throttle nothing; end the throttle after calm looks even while some wait

Its throttle came on at 6.2 s after two connects that broke in 1 ms, both served elsewhere at once, and stayed on for 15 s, since some were always waiting. Checked: prints of outcomes and state; setups took 5 to 15 ms all the while, so nothing was crowded. At fault: policy.py _judge (any failure marked a backend as crowded), _look (a share of two failures; the end waited for an empty buffer). Full and timed-out attempts, late setups and delay notes still count.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -23,7 +23,7 @@
 FEW = 1.0  # tokens at turn-on, so that a true overload is throttled at once
 HOLD, SHRINK = 2000.0, 8000.0  # ms of overload before the buffer shrinks, and until it is gone
 PERIOD = 500.0  # ms between looks of the monitor: several looks within any patience
-ON, OFF = 0.35, 0.15  # share of trouble that turns the throttle on and lowers r, and that counts as healthy
+ON, OFF, MANY = 0.35, 0.15, 3.0  # share of trouble: lowers r, counts as healthy; failures that make a share
 RECENT = 5000.0  # ms over which the rate of good setups is taken, to start r from
 FLOOR = 0.1  # of the usual arrivals let out at least: some setups must show when it is over
 UP, DOWN, CALM = 1.1, 0.85, 6  # change of r a look, down faster than up; healthy looks to turn off
@@ -135,7 +135,7 @@
         self.count, self.count_at, self.opened, self.seq, self.usual_worth = 0.0, 0.0, 0, 0, 1.0
         self.good, self.stood, self.failed, self.calm, self.backoff = 0.0, 0.0, 0.0, 0, PERIOD
         self.pump_at, self.looking, self.now, self.out = math.inf, False, 0.0, list[i.Action]()
-        self.timers: dict[int, Callable[[], None]] = {
+        self.timers: dict[int, Any] = {
             0: self._pump, 1: self._look, 2: lambda: self.out.append(i.Subscribe())}
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.ListUpdate: self._on_list, i.Request: self._on_request, i.Carried: self._on_carried,
@@ -192,9 +192,8 @@
         self._pump()
 
     def _unrank(self, b: Backend) -> None:
-        b.ready = False  # its places in the heads are passed over until it returns or they run dry
+        b.ready, self.table = False, []  # its places in the heads are passed over until it returns
         self.rows.remove(b)
-        self.table = []
 
     def _rank_in(self, b: Backend, weight: float) -> None:
         if b.weight != weight:
@@ -489,7 +488,8 @@
         """A backend's own troubles are its own: skip it for a while; the monitor sees only how many."""
         if outcome in (i.Outcome.OK, i.Outcome.CANCELLED, i.Outcome.UNSENT) or self.now >= b.leaving:
             return  # what a backend drops as it leaves is no trouble
-        b.slow_at, b.slow = self.now, 1.0
+        if outcome in (i.Outcome.FULL, i.Outcome.TIMEOUT):
+            b.slow_at, b.slow = self.now, 1.0  # who breaks off in a moment is not crowded
         self.failed += not was_open and outcome is not i.Outcome.ERROR  # errors come from no overload
         b.rejected, b.rejected_at = self._rejected(b) + 1, self.now
         if outcome is i.Outcome.FULL:
@@ -557,8 +557,8 @@
         self.good *= math.exp(-PERIOD / RECENT)
         self.stood, self.failed = 0.75 * self.stood, 0.75 * self.failed
         # One failing backend must not throttle setups that idle ones could take: it must be spread.
-        share = self.failed / (self.failed + self.stood) if self.failed > 1.0 else 0.0
-        pressure = max(share, part) if sum(b.slow for b in bad) > 1.0 else 0.0
+        share = self.failed / (self.failed + self.stood) if self.failed > MANY else 0.0
+        pressure = max(share, part if sum(b.slow for b in bad) > 1.0 else 0.0)
         throttle, usual = self.throttle, max(self.count, 1.0) / MEMORY
         self.calm = self.calm + 1 if pressure <= OFF else 0
         if not throttle.on and pressure >= ON:
@@ -567,5 +567,5 @@
         elif throttle.on:
             change = DOWN if pressure >= ON else UP if pressure <= OFF else 1.0
             throttle.rate = max(throttle.rate * change, FLOOR * usual)
-            throttle.on = self.calm < CALM or bool(throttle.waiting)
+            throttle.on = self.calm < CALM
             self._pump()
