Skip no server for an error: it serves others, and its share overloads the rest

Checked: prints of beliefs. A third server answered some requests with an ERR in 1 to 5 ms and served others; it was skipped up to 10 s at a time (five failures, none undone) and held nothing, so two servers of five held everything (fill 1.2 to 1.5). Throttle and holding back were ruled out: no refusal, setups took 13 ms. Whether another served no longer matters, so that bookkeeping is gone.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -79,7 +79,7 @@
 class Flow:
     """A request from its arrival to its end, and the connection it becomes."""
 
-    __slots__ = ("attempts", "backend", "cls", "deadline", "erred", "group", "id", "load", "open", "pending",
+    __slots__ = ("attempts", "backend", "cls", "deadline", "group", "id", "load", "open", "pending",
                  "pick", "since", "tenant", "tried", "unsure")
 
     def __init__(self, e: i.Request | i.Carried, cls: i.RequestClass, group: Group, deadline: float) -> None:
@@ -89,7 +89,6 @@
         self.load = -1.0  # not told yet
         self.tried: set[int] = set()
         self.unsure: list[tuple[Backend, float]] = []  # attempts that may have run: backend, time sent
-        self.erred: list[Backend] = []  # answered with an error: its fault or the request's
 
 
 class Throttle:
@@ -382,8 +381,6 @@
         b.setup += max(PACE, 1.0 / b.setups) * (e.elapsed - b.setup)
         if e.elapsed > flow.cls.aim:
             b.slow_at, b.slow = self.now, 1.0
-        for erred in flow.erred:  # another can serve what it could not: the fault is its own
-            self._judge(erred, i.Outcome.ERROR, False)
         self.stood, self.good = self.stood + 1, self.good + 1
         self._opened(flow)
 
@@ -468,10 +465,7 @@
         was_open, flow.pending = flow.open, False
         self.opened -= was_open
         self.held[flow.tenant] = self.held.get(flow.tenant, 0) - was_open
-        if e.outcome is i.Outcome.ERROR and not was_open:
-            flow.erred.append(b)  # a request that nobody can serve must not make all of them look ill
-        else:
-            self._judge(b, e.outcome, was_open)
+        self._judge(b, e.outcome, was_open)
         if e.closed or was_open or flow.deadline < 0:
             del self.flows[flow.id]
             return
@@ -490,12 +484,12 @@
             return  # what a backend drops as it leaves is no trouble
         if outcome in (i.Outcome.FULL, i.Outcome.TIMEOUT):
             b.slow_at, b.slow = self.now, 1.0  # who breaks off in a moment is not crowded
-        self.failed += not was_open and outcome is not i.Outcome.ERROR  # errors come from no overload
+        self.failed += not was_open and outcome is not i.Outcome.ERROR
         b.rejected, b.rejected_at = self._rejected(b) + 1, self.now
         if outcome is i.Outcome.FULL:
             self._raise_level(b, YIELD)
             b.down_until = self.now + 200.0 * self._jitter()
-        else:
+        elif outcome is not i.Outcome.ERROR:  # it costs a moment, and may be the fault of the request
             self._raise_level(b, YIELD * was_open)  # backends drop connections when too much is piled up
             self._skip(b)
 
