Make the request path stages with one interface; log events with names and fields

The front reached through the whole service (an import circle), and every end of a request was handled there by hand.

Change: net/path.py holds the stages (opening, room, decisions); the path alone counts which were entered, so that each is told of the end exactly once. The front names what it needs in an interface of its own. Log lines are events with fields; text stays as it was, `--log-format json` writes objects by python-json-logger.

--- a/snowwick/__main__.py
+++ b/snowwick/__main__.py
@@ -15,13 +15,21 @@
 
 
 @main.command()
-def serve() -> None:
+@click.option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
+              envvar="SNOWWICK_LOG_FORMAT", help="Lines for people, or one JSON object an event.")
+def serve(log_format: str) -> None:
     """Serve, as GW_CONFIG and the other GW_ variables say, until SIGTERM."""
+    from snowwick.log import Log, as_json, as_text
+    from snowwick.net.loop import Loop
     from snowwick.net.service import Service
 
     settings = _load()
     try:
-        Service(settings).serve()
+        style = as_json(settings.name) if log_format == "json" else as_text
+    except ImportError as error:
+        raise SystemExit(f"snowwick: --log-format json: {error}; install snowwick[json-log]") from error
+    try:
+        Service(settings, Loop(Log(style=style))).serve()
     except OSError as error:
         raise SystemExit(f"snowwick: listen: {settings.listen[0]}:{settings.listen[1]}: {error}") from error
 
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -204,7 +204,9 @@
         except Exception as error:
             # The module must not take all standing connections with it; unanswered requests run into
             # the client side's own time limit.
-            self.loop.log.line(f"fault: decision on {type(event).__name__}: {type(error).__name__}: {error}")
+            self.loop.log.event("fault", "fault: {where}: {error}",
+                                where=f"decision on {type(event).__name__}",
+                                error=f"{type(error).__name__}: {error}")
             return
         for action in actions:
             self._carry_out(action)
--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -4,14 +4,12 @@
 
 import socket
 from collections.abc import Generator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from snowwick.net import lines
 from snowwick.net.decider import (
-    Arrived,
     BusyReply,
     FailReply,
-    Kept,
     Left,
     Load,
     MoveAway,
@@ -21,29 +19,58 @@
     StepUp,
 )
 from snowwick.net.destination import Destination, Over, Up
-from snowwick.net.loop import READ, TIME, Steps, Wait
+from snowwick.net.gauge import Gauge
+from snowwick.net.loop import READ, TIME, Loop, Steps, Wait
+from snowwick.net.path import Ask, Path, ask_of
 from snowwick.net.peer import GRACE, End, LinePeer, prepare
 
-if TYPE_CHECKING:
-    from snowwick.net.service import Service
-
 FIRST_LINE = 2.0  # s that a front socket may stay without an opening line, whatever else it says
 LINGER = 5.0  # s at most in which the rest of what a client sends is read, once it has its answer
 KEPT = 40.0  # s that a connection which stood before may take to come up again
-MARGIN = 20.0  # ms taken off the client's patience, so that the answer is there in time
 
 
 class MakeRoom:
     """To a front without a request: end, its descriptor is wanted."""
 
 
+class House(Protocol):
+    """What a front needs of the program round it."""
+
+    loop: Loop
+    path: Path
+    gauge: Gauge
+
+    @property
+    def groups(self) -> bool:
+        """Has ``g`` a meaning in the settings?"""
+
+    @property
+    def connect_wait(self) -> float:
+        """Seconds that a connect may take."""
+
+    def number(self, name: str) -> int:
+        """A destination's number by its name."""
+
+    def address(self, destination: int) -> tuple[str, int] | None:
+        """Where a destination is, if the pool config has it."""
+
+    def asks(self, front: Front) -> None:
+        """The front has a request now."""
+
+    def asks_no_more(self, front: Front) -> None:
+        """The front has its answer; its socket may have to stay a little."""
+
+    def ended(self, front: Front) -> None:
+        """The front is gone."""
+
+
 class Front(LinePeer):
     """One client's connection."""
 
-    def __init__(self, service: Service, sock: socket.socket) -> None:
-        super().__init__(service.loop, prepare(sock))
-        self.service, self.reason, self.detail = service, "fault", ""
-        self.opening: lines.Opening | None = None
+    def __init__(self, house: House, sock: socket.socket) -> None:
+        super().__init__(house.loop, prepare(sock))
+        self.house, self.reason, self.detail = house, "fault", ""
+        self.ask: Ask | None = None
         self.step: Destination | None = None
         self.asked = self.up = False
         self.number = -1
@@ -61,26 +88,30 @@
         finally:
             self._leave()
             self.shut()
-            self.service.ended(self)
+            self.house.ended(self)
 
     def _leave(self) -> None:
         """Whatever ended this side, the decider and the step hear of it."""
+        if self.ask is None:
+            return
         if self.asked and not self.up:
-            self.service.decider.post(Left(self, self.step is not None))
+            self.ask.post(Left(self, self.step is not None))
         if self.step is not None:
             self.step.post(End())
             self._step_over(Outcome.CANCELLED, 0.0, final=True)
+        self.house.path.over(self.ask)
 
     def _serve(self) -> Steps:
         opening = yield from self._first_line()
         if opening is None:
             return
-        self.opening = opening
-        if self.service.draining or self.service.short_of_sockets():
-            self.reason = "draining" if self.service.draining else "no-sockets"
-            yield from self._answer(lines.busy(self.service.come_again_ms()))
+        self.ask = ask_of(self, opening, self.house.groups)
+        turned = self.house.path.enter(self.ask)
+        if turned is not None:
+            self.reason, self.detail = turned.reason, turned.detail
+            yield from self._answer(turned.line)
             return
-        self._ask(opening)
+        self._begin(self.ask)
         answer = yield from self._await_answer()
         if answer is not None:
             yield from self._answer(answer)
@@ -112,26 +143,19 @@
                     opening = lines.parse_opening(line)
                     if self.inbox:
                         raise lines.Garbled("more than an opening line")
-                    self.service.check(opening)
                     return opening
             self.flush()
             if not going:
                 return None
 
-    def _ask(self, opening: lines.Opening) -> None:
-        values = opening.values
-        name, tenant = values["c"], values.get("t", "")
-        group = values.get("g", "") if self.service.config.groups else ""
-        wait = float(opening.wait_ms or 0)
+    def _begin(self, ask: Ask) -> None:
         self.began = self.loop.clock()
-        self.until = self.began + min(wait / 1000.0, KEPT)
-        self.service.asks(self, opening)
-        if "at" in values:
-            self._take_step(self.service.pool.number(values["at"]), wait)
+        self.until = self.began + min(ask.wait / 1000.0, KEPT)
+        self.house.asks(self)
+        if ask.at:
+            self._take_step(self.house.number(ask.at), ask.wait)
         else:
             self.asked = True
-            self.service.decider.post(
-                Arrived(self, name, max(0.0, wait - MARGIN), opening.key, group, tenant))
 
     def _await_answer(self) -> Generator[Wait, int, bytes | None]:
         """Wait for the one final answer, making the route steps that the decider asks for."""
@@ -167,47 +191,47 @@
                 return lines.ERR
 
     def _take_step(self, destination: int, wait_ms: float) -> None:
-        service = self.service
-        assert self.opening is not None
+        assert self.ask is not None
         self.number = destination
-        address = service.pool.address(destination)
+        address = self.house.address(destination)
         if address is None or wait_ms <= 0:
             self.post(Over(Outcome.CONNECT_FAILED if address is None else Outcome.UNSENT, 0.0))
             return
         try:
             self.step = Destination(self.loop, self, destination, address,
-                                    lines.with_wait(self.opening.line, wait_ms), wait_ms / 1000.0,
-                                    service.config.settings.connect_timeout / 1000.0, service.gauge)
+                                    lines.with_wait(self.ask.opening.line, wait_ms), wait_ms / 1000.0,
+                                    self.house.connect_wait, self.house.gauge)
         except OSError as error:
             # No descriptor for it: the client is still owed its one answer.
-            self.loop.log.line(f"route step: {error}")
+            self.loop.log.event("route-step-failed", "route step: {error}", error=str(error))
             self.post(Over(Outcome.CONNECT_FAILED, 0.0))
             return
         self.step.start()
 
     def _stand(self, message: Up) -> None:
-        assert self.opening is not None
+        assert self.ask is not None
         self.up, self.other, self.reason = True, self.step, "client-ended"
         self.out += message.line
         if self.asked:
-            self.service.decider.post(StepUp(self, self.number, message.elapsed))
+            self.ask.post(StepUp(self, self.number, message.elapsed))
         else:
-            values, group = self.opening.values, self.opening.values.get("g", "")
-            self.service.decider.post(Kept(
-                self, values.get("c", ""), self.number, self.opening.key,
-                group if self.service.config.groups else "", values.get("t", "")))
+            self.ask.kept(self.number)
+        self.house.path.stands(self.ask)
         self.flush()
 
     def _step_over(self, outcome: Outcome, elapsed: float, final: bool) -> None:
         self.step = None
+        assert self.ask is not None
         if self.asked or self.up:
-            self.service.decider.post(StepEnded(self, self.number, outcome, elapsed, final))
+            self.ask.post(StepEnded(self, self.number, outcome, elapsed, final))
+        if final:
+            self.house.path.over(self.ask)
 
     def _answer(self, line: bytes) -> Steps:
         """Send the final answer and end the connection; what the client still sends is passed over."""
         self._leave()
         self.asked = False
-        self.service.asks_no_more(self)
+        self.house.asks_no_more(self)
         self.inbox.clear()
         self.out += line
         self.closing, self.other = True, None
@@ -234,7 +258,9 @@
                 self.tell(End())
                 self.start_grace()
         elif isinstance(message, Load):
-            self.service.decider.post(message)
+            if self.ask is not None:
+                self.ask.post(message)
+                self.house.path.load(self.ask, message.load)
         elif isinstance(message, Over):
             if self.step is not None:
                 if not self.closing and not self.read_done:
--- a/snowwick/net/loop.py
+++ b/snowwick/net/loop.py
@@ -124,7 +124,8 @@
             return
         except Exception:
             # One peer's fault must not end the connections of all the others.
-            self.log.line(f"fault: {type(actor).__name__}: {traceback.format_exc(limit=-4)}")
+            self.log.event("fault", "fault: {where}: {error}", where=type(actor).__name__,
+                           error=traceback.format_exc(limit=-4))
             self._forget(actor)
             if actor.lasting:
                 actor.start()
--- a/snowwick/net/pool.py
+++ b/snowwick/net/pool.py
@@ -76,7 +76,7 @@
                 rows.append((parse_address(one["addr"]), self._entry(one)))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 # One entry that cannot be read must not hide the news of all the others.
-                self.left_out(f"pool config: entry left out: {type(error).__name__} {error}")
+                self.left_out(f"{type(error).__name__} {error}")
         self.version = version
         if full:
             self.addresses = {}
@@ -101,12 +101,15 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], tell: Callable[[i.ListUpdate], None]) -> None:
         super().__init__(loop)
-        self.where, self.tell, self.config = address, tell, PoolConfig(loop.log.line)
+        self.where, self.tell, self.config = address, tell, PoolConfig(self._left_out)
         self.sock: socket.socket | None = None
         self.http: h11.Connection | None = None
         self.full = False  # the next call asks for the whole list
         self.moved = False
 
+    def _left_out(self, error: str) -> None:
+        self.loop.log.event("entry-left-out", "pool config: entry left out: {error}", error=error)
+
     def number(self, name: str) -> int:
         return number_of(name)
 
@@ -144,7 +147,8 @@
             except Moved:
                 continue  # nothing of the old discovery is applied, its failure is no news either
             except (CallFailed, OSError, ValueError, h11.ProtocolError) as error:
-                self.loop.log.line(f"pool config: call failed: {type(error).__name__} {error}")
+                self.loop.log.event("discovery-failed", "pool config: call failed: {error}",
+                                    error=f"{type(error).__name__} {error}")
                 self._hang_up()
                 self.tell(i.ListUpdate(i.ListKind.FAILED))
                 return
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -14,11 +14,11 @@
 from crowgap.interface import ListKind
 from snowwick.config import LIVE, BadConfig, Config, reload
 from snowwick.log import Log
-from snowwick.net import lines
 from snowwick.net.decider import Decider, MoveAway
 from snowwick.net.front import Front, MakeRoom
 from snowwick.net.gauge import Gauge
 from snowwick.net.loop import Actor, Loop, Steps, Wait
+from snowwick.net.path import Decisions, Openings, Path, Room
 from snowwick.net.peer import CHUNK
 from snowwick.net.pool import CallFailed, NewAddress, Pool, WatchPool
 
@@ -56,7 +56,7 @@
                 except BlockingIOError:
                     break
                 except OSError as error:
-                    self.loop.log.line(f"accept: {error}")
+                    self.loop.log.event("accept-failed", "accept: {error}", error=str(error))
                     yield from self._pause(PAUSE)
                     break
 
@@ -98,15 +98,29 @@
         self.random = random.Random(config.seed)
         self.fronts: set[Front] = set()
         self.idle: dict[Front, None] = {}  # without a request to answer, the longest-waiting first
-        self.ids: dict[str, Front] = {}  # of the requests and connections that are open
         self.limit = config.sockets - OWN_SOCKETS
-        self.deadlines = config.deadlines
         self.draining = False
         self.offset_ms = 1000.0 * (time.time() - self.loop.clock())
         self.decider = Decider(self.loop, config.settings, config.seed, self.now_ms,
                                lambda: self.pool.post(WatchPool()))
         self.pool = Pool(self.loop, config.discovery, self.decider.post)
         self.gauge = Gauge(self.loop, self.decider.post, config.message_aim_ms)
+        self.path = Path([Openings(config.deadlines, config.tenants), Room(self.full, self.come_again_ms),
+                          Decisions(lambda _: self.decider)])
+
+    @property
+    def groups(self) -> bool:
+        return self.config.groups
+
+    @property
+    def connect_wait(self) -> float:
+        return self.config.settings.connect_timeout / 1000.0
+
+    def number(self, name: str) -> int:
+        return self.pool.number(name)
+
+    def address(self, destination: int) -> tuple[str, int] | None:
+        return self.pool.address(destination)
 
     def now_ms(self) -> float:
         """Unix time in ms that never steps back: discovery's start times are on the same clock."""
@@ -123,7 +137,7 @@
         try:
             self.decider.post(self.pool.config.take(self.config.known, ListKind.REMEMBERED))
         except CallFailed as error:
-            self.log.line(f"known: {error}")
+            self.log.event("bad-list", "known: {error}", error=str(error))
         Acceptor(self, self.listener).start()
 
     def serve(self) -> None:
@@ -137,7 +151,8 @@
         Signals(self, inner).start()
         self.start()
         host, port = self.listener.getsockname()
-        self.log.line(f"{self.config.name}: serving on {host}:{port}")
+        self.log.event("serving", "{name}: serving on {address}", name=self.config.name,
+                       address=f"{host}:{port}")
         try:
             self.loop.run()
         finally:
@@ -148,13 +163,15 @@
         try:
             new = self.read_again()
         except BadConfig as error:
-            self.log.line(f"reload: {error}; the old configuration stays")
+            self.log.event("reload-refused", "reload: {error}; the old configuration stays", error=str(error))
             return
         waiting = [one.name for one in fields(Config)
                    if one.name not in LIVE and getattr(new, one.name) != getattr(self.config, one.name)]
         if waiting:
-            self.log.line(f"reload: {', '.join(waiting)} changed, but only at the next start")
-        self.log.line(f"reload: discovery at {new.discovery[0]}:{new.discovery[1]}")
+            self.log.event("reload-waits", "reload: {keys} changed, but only at the next start",
+                           keys=", ".join(waiting))
+        self.log.event("reload", "reload: discovery at {discovery}",
+                       discovery=f"{new.discovery[0]}:{new.discovery[1]}")
         if new.discovery != self.config.discovery:
             self.config = replace(self.config, discovery=new.discovery)
             self.pool.post(NewAddress(new.discovery))
@@ -169,7 +186,8 @@
         longest = max([one.deadline for one in self.config.settings.classes]) / 1000.0
         last = began + min(longest, LONGEST) + AFTER
         self.draining = True
-        self.log.line(f"{self.config.name}: ending, {len(self.fronts)} connections")
+        self.log.event("ending", "{name}: ending, {connections} connections", name=self.config.name,
+                       connections=len(self.fronts))
         while self.loop.clock() < last:
             passed = self.loop.clock() - began - STILL_COMING
             if passed > 0.0:
@@ -187,30 +205,26 @@
         self.idle[front] = None
         front.start()
 
-    def check(self, opening: lines.Opening) -> None:
-        """Raise Garbled for an opening that no usual client sends."""
-        lines.check_opening(opening, self.deadlines, self.config.tenants)
-        if opening.id in self.ids:
-            raise lines.Garbled("id is open already")
-
-    def asks(self, front: Front, opening: lines.Opening) -> None:
-        """The front has a request now."""
+    def asks(self, front: Front) -> None:
         self.idle.pop(front, None)
-        self.ids[opening.id] = front
 
     def asks_no_more(self, front: Front) -> None:
-        """The front's request and its connection are over; its socket may have to stay a little."""
-        if front.opening is not None and self.ids.get(front.opening.id) is front:
-            del self.ids[front.opening.id]
-            self.idle[front] = None
+        self.idle.setdefault(front)
 
     def ended(self, front: Front) -> None:
-        self.asks_no_more(front)
         self.fronts.discard(front)
         self.idle.pop(front, None)
-        opening = front.opening
-        self.log.line(f"{opening.id if opening else '-'} {front.reason} "
-                      f"{self.loop.clock() - front.began:.3f}s to={front.number} {front.detail}".rstrip())
+        ask = front.ask
+        self.log.event(
+            "connection-ended", "{id} {reason} {seconds:.3f}s to={destination}" + " team={team}" * bool(
+                ask and ask.team) + " {detail}",
+            id=ask.opening.id if ask else "-", reason=front.reason, destination=front.number,
+            seconds=round(self.loop.clock() - front.began, 3), team=ask.team if ask else "",
+            detail=front.detail)
+
+    def full(self) -> str:
+        """The reason code if nothing more may be begun."""
+        return "draining" if self.draining else "no-sockets" if self.short_of_sockets() else ""
 
     def short_of_sockets(self) -> bool:
         """Is there no room for a route step?"""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -134,6 +134,23 @@
         other.close()
 
 
+def test_json_log_holds_every_event_as_an_object_with_its_fields(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    with program(path, SNOWWICK_LOG_FORMAT="json") as process:
+        assert process.stderr is not None
+        first = json.loads(process.stderr.readline())
+        host, port = first["address"].split(":")
+        with socket.create_connection((host, int(port)), 5.0) as client:
+            client.sendall(b"OPEN {x} k d=1\r\n")
+            assert client.recv(4096) == b"ERR\r\n"
+        process.terminate()
+        events = [first, *map(json.loads, process.stderr.read().splitlines())]
+    assert {"serving", "connection-ended", "ending"} <= {one["event"] for one in events}
+    ended = next(one for one in events if one["event"] == "connection-ended")
+    assert (ended["id"], ended["reason"], ended["balancer"]) == ("{x}", "garbled", "balancer")
+
+
 def test_example_configuration_is_valid(tmp_path: Path) -> None:
     with program(ROOT / "example" / "config.json", "check-config") as process:
         said, _ = process.communicate(timeout=20.0)
