Hold teams to contracts: budgets lent and reclaimed, pools, honest come-back times

Need: other teams' services come behind the same balancer, and a team's surge must not eat what dispatchers need. Tenants were names with quotas that the module used as worth; nothing held a team to anything.

Change: package snowwick/broker/, free of I/O and clock: the file and its checks (msgspec), GCRA rates, budgets of connections and load lent between guarantee and ceiling by stealing from the richest borrower, a reclaimer at a bounded pace, come-back places booked in a virtual queue, pools with an instance of the module each. Off without a file.

--- /dev/null
+++ b/snowwick/broker/budget.py
@@ -0,0 +1,158 @@
+"""What is held and what is lent of one resource: standing connections, or the load that they bring.
+
+Every team has a guarantee, a ceiling and a weight.  Room that its owner does not use is lent to whoever asks,
+but for a reserve; when an owner, or a team with less in proportion to its weight, finds no room, a mark keeps
+for it the room that is then freed by moving what the richest borrower took last.  Stealing from the richest
+until nobody who asks is poorer by a unit is weighted max-min fairness, reached step by step without ever
+computing it, so that the cost of an ask does not grow with the number of teams.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from itertools import count
+from typing import Any
+
+SLACK = 1e-9  # guards against rounding where loads are summed and subtracted for hours
+
+
+class Share:
+    """One team's part of one resource at this balancer.  ``leaving`` is held, but has been asked to go."""
+
+    __slots__ = ("ceiling", "guarantee", "held", "leaving", "marked", "owner", "spent", "stamp", "weight")
+
+    def __init__(self, owner: Any = None) -> None:
+        self.owner = owner
+        self.guarantee = self.ceiling = self.held = self.leaving = self.marked = 0.0
+        self.weight, self.stamp, self.spent = 1.0, 0, 0.0
+
+    @property
+    def staying(self) -> float:
+        return self.held - self.leaving
+
+    @property
+    def level(self) -> float:
+        """What it has beyond its guarantee, in proportion to its weight."""
+        return (self.staying - self.guarantee) / self.weight
+
+    @property
+    def unused(self) -> float:
+        return max(0.0, self.guarantee - self.held)
+
+    def over_ceiling(self) -> bool:
+        return self.staying > self.ceiling + SLACK
+
+
+class Budget:
+    """One resource of the fleet, this balancer's part."""
+
+    def __init__(self, limit: float, reserve_part: float, whole: bool) -> None:
+        self.limit, self.reserve_part, self.whole = limit, reserve_part, whole
+        self.total = self.leaving = self.unused = self.marked = 0.0
+        self.marks: deque[tuple[float, Share, float]] = deque()  # until when, whose, how much; oldest first
+        self._heap: list[tuple[float, int, int, Share]] = []  # borrowers, the richest first, stale ones too
+        self._count = count()
+        self.shares = 0  # how many there are, for the heap's bound
+
+    def reserve(self) -> float:
+        """Room that is never lent: an owner's first asks find it before anything has been moved."""
+        kept = self.reserve_part * max(0.0, self.unused)
+        return math.ceil(kept - SLACK) if self.whole else kept
+
+    def set(self, share: Share, guarantee: float, ceiling: float, weight: float) -> None:
+        """Other limits for a share; what it holds stays."""
+        self.unused -= share.unused
+        share.guarantee, share.ceiling, share.weight = guarantee, ceiling, weight
+        self.unused += share.unused
+        self._rank(share)
+
+    def add(self, share: Share, amount: float) -> None:
+        """It holds more, or less."""
+        self.unused -= share.unused
+        share.held += amount
+        self.total += amount
+        self.unused += share.unused
+        self._rank(share)
+
+    def leave(self, share: Share, amount: float) -> None:
+        """So much of what it holds has been asked to go; a negative amount has gone."""
+        share.leaving += amount
+        self.leaving += amount
+        self._rank(share)
+
+    def _rank(self, share: Share) -> None:
+        share.stamp += 1
+        if share.level > SLACK:
+            heapq.heappush(self._heap, (-share.level, next(self._count), share.stamp, share))
+            if len(self._heap) > 64 + 4 * self.shares:
+                self._heap = [row for row in self._heap if row[2] == row[3].stamp]
+                heapq.heapify(self._heap)
+
+    def richest(self) -> Share | None:
+        """The share with most beyond its guarantee, for its weight."""
+        while self._heap and self._heap[0][2] != self._heap[0][3].stamp:
+            heapq.heappop(self._heap)
+        return self._heap[0][3] if self._heap else None
+
+    def entitled(self, share: Share, amount: float) -> bool:
+        """Is it still within its guarantee with so much more?"""
+        return share.held + amount <= share.guarantee + SLACK
+
+    def room(self, share: Share, amount: float, spare: float = 0.0) -> bool:
+        """Is there room for so much more, ``spare`` left over?  The ceiling is another question."""
+        if self.entitled(share, amount):
+            return self.total + amount <= self.limit + SLACK
+        others = self.marked - share.marked
+        return self.total + amount + spare + self.reserve() + others <= self.limit + SLACK
+
+    def mark(self, until: float, share: Share, amount: float) -> bool:
+        """Keep the room that is freed next for a share that was refused, if it is owed any."""
+        more = share.marked + amount
+        if share.held + more > share.ceiling + SLACK \
+                or not (self.entitled(share, more) or self._poorer(share, more)):
+            return False
+        self.marks.append((until, share, amount))
+        share.marked += amount
+        self.marked += amount
+        return True
+
+    def _poorer(self, share: Share, more: float) -> bool:
+        """Would it, with so much more, still have no more than the richest has with as much less?"""
+        rich = self.richest()
+        if rich is None or rich is share:
+            return False
+        level = (share.staying + more - share.guarantee) / share.weight
+        return level <= (rich.staying - more - rich.guarantee) / rich.weight + SLACK
+
+    def used(self, share: Share, amount: float) -> None:
+        """A share for which room was kept has taken some."""
+        amount = min(amount, share.marked)
+        share.marked -= amount
+        share.spent += amount
+        self.marked -= amount
+
+    def expire(self, now: float) -> None:
+        """Room is kept for a while only: who was refused may never come back."""
+        while self.marks and self.marks[0][0] <= now:
+            _, share, amount = self.marks.popleft()
+            spent = min(amount, share.spent)
+            share.spent -= spent
+            lost = min(amount - spent, share.marked)
+            share.marked -= lost
+            self.marked -= lost
+        if not self.marks:
+            self.marked = 0.0
+
+    def victim(self) -> Share | None:
+        """The share that must give something up now, if any.
+
+        The reserve is brought back once half of it is gone: an owner whose connections come and go must not
+        have a borrower moved for each.
+        """
+        free = self.limit - (self.total - self.leaving)
+        short = free < self.reserve() / 2.0 - SLACK or free + SLACK < self.marked
+        if short or (self.marked > 0.0 and free + SLACK < self.marked + self.reserve()):
+            return self.richest()
+        return None
--- /dev/null
+++ b/snowwick/broker/contract.py
@@ -0,0 +1,332 @@
+"""The operators' file of contracts: its form (version 1), its checks, and what each balancer's part of it is.
+
+This module imports msgspec; the program loads it only where a file is given.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import tomllib
+from collections.abc import Collection, Iterator
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+
+from snowwick.broker.fair import Claim, max_min, striped
+from snowwick.broker.ledger import Book, ClassTerms, Terms
+from snowwick.broker.pools import Match
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0)]
+Part = Annotated[float, msgspec.Meta(gt=0.0, le=1.0)]
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+Named = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
+_NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+
+
+class BadContracts(ValueError):
+    """The file cannot be used; ``faults`` holds a line for each fault, its full key path first."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class Reclaim(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How what is lent comes back."""
+
+    within_s: Positive = 10.0  # an owner that asks has its guarantee after this long
+    reserve: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.1  # of the unused guarantees, never lent
+
+
+class Fleet(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What all balancers together may hold for certain; ``load`` in the unit of the LOAD lines."""
+
+    connections: Annotated[int, msgspec.Meta(gt=0)]
+    setups_per_s: Positive
+    load: Positive | None = None
+    burst_s: Positive = 1.0  # how many seconds' worth of a rate may pass at once after a pause
+    reclaim: Reclaim = Reclaim()
+
+
+class Pool(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Destinations by what discovery says of them; no key at all takes every destination."""
+
+    match: dict[str, Any] = {}
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One side of a budget; what is left out of a guarantee is nothing, of a ceiling all of the fleet."""
+
+    connections: Count | None = None
+    setups_per_s: Amount | None = None
+    load: Amount | None = None
+
+
+class Class(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A request class inside a team."""
+
+    max_deadline_ms: Positive | None = None
+    share: Part = 1.0  # of the team's ceiling at most
+
+
+class Team(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A team's contract.  Without classes every class of the settings is in it."""
+
+    tenants: Annotated[list[Named], msgspec.Meta(min_length=1)]
+    pool: str
+    weight: Positive = 1.0
+    guarantee: Limits = Limits()
+    ceiling: Limits = Limits()
+    classes: dict[str, Class] = {}
+
+
+class Contracts(msgspec.Struct, frozen=True):
+    """The whole file, checked."""
+
+    fleet: Fleet
+    pools: dict[str, Match]
+    teams: dict[str, Team]
+
+    @property
+    def tenants(self) -> dict[str, str]:
+        """The team of each tenant."""
+        return {tenant: name for name, team in self.teams.items() for tenant in team.tenants}
+
+
+class Part1(msgspec.Struct, frozen=True):
+    """What one balancer enforces of a team's contract."""
+
+    connections: tuple[int, int]  # guarantee, ceiling
+    setups: tuple[float, float]
+    load: tuple[float, float]
+
+
+def parts(contracts: Contracts, balancers: int, index: int) -> tuple[int, dict[str, Part1]]:
+    """One balancer's part of the fleet's connections, and of each team's limits.
+
+    Connections are dealt out one by one (``fair.striped``), so over all balancers every figure sums exactly.
+    """
+    first, of_teams = 0, {}
+    for name in sorted(contracts.teams):
+        team, fleet = contracts.teams[name], contracts.fleet
+        guaranteed = team.guarantee.connections or 0
+        most = fleet.connections if team.ceiling.connections is None else team.ceiling.connections
+        rate = fleet.setups_per_s if team.ceiling.setups_per_s is None else team.ceiling.setups_per_s
+        load = team.ceiling.load if team.ceiling.load is not None else fleet.load or math.inf
+        of_teams[name] = Part1(
+            (striped(first, guaranteed, balancers, index), striped(first, most, balancers, index)),
+            ((team.guarantee.setups_per_s or 0.0) / balancers, rate / balancers),
+            ((team.guarantee.load or 0.0) / balancers, load / balancers))
+        first += guaranteed
+    return striped(0, contracts.fleet.connections, balancers, index), of_teams
+
+
+T = TypeVar("T")
+
+
+class _Reader:
+    """Collects the faults of a file, each with its key path."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+
+    def fault(self, path: str, text: str) -> None:
+        self.faults.append(f"{path}: {text}")
+
+    def read(self, path: str, raw: Any, kind: type[T]) -> T | None:
+        try:
+            return msgspec.convert(raw, kind)
+        except msgspec.ValidationError as error:
+            text, _, where = str(error).partition(" - at `$")
+            keys = [path, *(a or b for a, b in re.findall(r"\.([^.`\[]+)|\[(\d+)\]", where))]
+            missing = re.search(r"(?:unknown|required) field `([^`]+)`", text)
+            if missing:
+                keys.append(missing.group(1))
+                text = "unknown key" if "unknown" in text else "is missing"
+            self.fault(".".join(filter(None, keys)), text[:1].lower() + text[1:])
+            return None
+
+    def table(self, raw: dict[str, Any], path: str, required: bool = False) -> dict[str, Any]:
+        value = raw.get(path.rpartition(".")[2], None if required else {})
+        if not isinstance(value, dict):
+            self.fault(path, "must be a table" if value is not None else "is missing")
+            return {}
+        for name in value:
+            if not _NAME.fullmatch(name):
+                self.fault(f"{path}.{name!r}", "not a name of letters, digits, '_', '.', '-'")
+        return value
+
+
+def _numbers(raw: Any, path: str = "") -> Iterator[tuple[str, float]]:
+    rows = raw.items() if isinstance(raw, dict) else enumerate(raw) if isinstance(raw, list) else ()
+    for key, value in rows:
+        where = f"{path}.{key}" if path else str(key)
+        if isinstance(value, float):
+            yield where, value
+        yield from _numbers(value, where)
+
+
+def parse(text: str, classes: Collection[str] | None = None,
+          tenants: Collection[str] | None = None) -> Contracts:
+    """Read and check a file's text; raises BadContracts with every fault found.
+
+    ``classes`` and ``tenants`` are the settings' names, or None where there are no settings to check against.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise BadContracts([f"not TOML: {error}"]) from error
+    reader = _Reader()
+    if raw.get("version") != 1 or isinstance(raw.get("version"), bool):
+        raise BadContracts([f"version: must be 1, not {raw.get('version')!r}"
+                            if "version" in raw else "version: is missing"])
+    for key in raw.keys() - {"version", "fleet", "pools", "teams"}:
+        reader.fault(key, "unknown key")
+    for path, number in _numbers(raw):
+        if not math.isfinite(number):
+            reader.fault(path, f"must be a finite number, not {number}")
+    fleet = reader.read("fleet", reader.table(raw, "fleet", required=True), Fleet)
+    pools, teams = _pools(reader, raw), _teams(reader, raw)
+    if fleet is not None and not reader.faults:
+        _together(reader, fleet, pools, teams)
+        _against(reader, teams, classes, tenants)
+    if reader.faults or fleet is None:
+        raise BadContracts(reader.faults)
+    return Contracts(fleet, pools, teams)
+
+
+def load(path: str | Path, classes: Collection[str] | None = None,
+         tenants: Collection[str] | None = None) -> Contracts:
+    """Read a file; raises BadContracts, also where it cannot be read."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadContracts([f"cannot read {path}: {error}"]) from error
+    return parse(text, classes, tenants)
+
+
+def _pools(reader: _Reader, raw: dict[str, Any]) -> dict[str, Match]:
+    found: dict[str, Match] = {}
+    for name, one in reader.table(raw, "pools", required=True).items():
+        pool = reader.read(f"pools.{name}", one, Pool)
+        if pool is None:
+            continue
+        wanted: dict[str, frozenset[str]] = {}
+        for key, values in pool.match.items():
+            path = f"pools.{name}.match.{key}"
+            rows = values if isinstance(values, list) else [values]
+            if key not in ("kind", "zone", "cell"):
+                reader.fault(path, "unknown key")
+            elif not rows or not all(isinstance(v, str | int) and not isinstance(v, bool) for v in rows):
+                reader.fault(path, "must be a name or a list of names, not empty")
+            else:
+                wanted[key] = frozenset(map(str, rows))
+        found[name] = Match(wanted.get("kind"), wanted.get("zone"), wanted.get("cell"))
+    return found
+
+
+def _teams(reader: _Reader, raw: dict[str, Any]) -> dict[str, Team]:
+    found: dict[str, Team] = {}
+    for name, one in reader.table(raw, "teams", required=True).items():
+        path = f"teams.{name}"
+        if not isinstance(one, dict):
+            reader.fault(path, "must be a table")
+            continue
+        inner = {key: reader.read(f"{path}.classes.{key}", value, Class)
+                 for key, value in reader.table(one, f"{path}.classes").items()}
+        team = reader.read(path, {key: value for key, value in one.items() if key != "classes"}, Team)
+        if team is not None:
+            found[name] = msgspec.structs.replace(
+                team, classes={key: value for key, value in inner.items() if value is not None})
+    return found
+
+
+def _together(reader: _Reader, fleet: Fleet, pools: dict[str, Match], teams: dict[str, Team]) -> None:
+    """What no single key can be blamed for before the others are known."""
+    owner: dict[str, str] = {}
+    for name, team in teams.items():
+        path = f"teams.{name}"
+        for tenant in team.tenants:
+            if owner.setdefault(tenant, name) != name:
+                reader.fault(f"{path}.tenants", f"{tenant!r} is in teams.{owner[tenant]} already")
+        if team.pool not in pools:
+            reader.fault(f"{path}.pool", f"no pool is named {team.pool!r}")
+        if len(set(team.tenants)) < len(team.tenants):
+            reader.fault(f"{path}.tenants", "names a tenant twice")
+        for key in ("connections", "setups_per_s", "load"):
+            low, high = getattr(team.guarantee, key), getattr(team.ceiling, key)
+            if key == "load" and fleet.load is None and (low or high) is not None:
+                reader.fault(f"{path}.{'guarantee' if low is not None else 'ceiling'}.load",
+                             "needs fleet.load")
+            if low is not None and high is not None and high < low:
+                reader.fault(f"{path}.ceiling.{key}", f"{high} is under the guarantee, {low}")
+    for key in ("connections", "setups_per_s", "load"):
+        most, asked = getattr(fleet, key), sum(getattr(team.guarantee, key) or 0 for team in teams.values())
+        if most is not None and asked > most * (1 + 1e-9):
+            reader.fault(f"fleet.{key}", f"the guarantees together, {asked}, exceed it, {most}")
+    names = list(pools)
+    for n, one in enumerate(names):
+        for other in names[:n]:
+            if pools[one].overlaps(pools[other]):
+                reader.fault(f"pools.{one}.match", f"overlaps with pools.{other}.match")
+        if all(team.pool != one for team in teams.values()):
+            reader.fault(f"pools.{one}", "no team uses it")
+
+
+def _against(reader: _Reader, teams: dict[str, Team], classes: Collection[str] | None,
+             tenants: Collection[str] | None) -> None:
+    """What the settings must know."""
+    for name, team in teams.items():
+        for key in team.classes if classes is not None else ():
+            if key not in (classes or ()):
+                reader.fault(f"teams.{name}.classes.{key}", "the settings have no such class")
+        for tenant in team.tenants if tenants is not None else ():
+            if tenant not in (tenants or ()):
+                reader.fault(f"teams.{name}.tenants", f"the settings have no tenant {tenant!r}")
+
+
+def explain(contracts: Contracts, balancers: int) -> list[dict[str, Any]]:
+    """For each team, at one balancer of so many: its guarantee, what it gets alone and when all ask.
+
+    Whole connections are those of balancer 0; where they do not divide evenly another may have one less.
+    """
+    fleet, of_teams = parts(contracts, balancers, 0)
+    rate, load = contracts.fleet.setups_per_s / balancers, (contracts.fleet.load or math.inf) / balancers
+    names = sorted(of_teams)
+
+    def shared(total: float, limits: list[tuple[float, float]]) -> list[float]:
+        if math.isinf(total):
+            return [total] * len(limits)
+        return max_min(total, [Claim(low, min(high, total), contracts.teams[name].weight)
+                               for name, (low, high) in zip(names, limits, strict=True)])
+
+    seats = shared(fleet, [of_teams[n].connections for n in names])
+    setups = shared(rate, [of_teams[n].setups for n in names])
+    loads = shared(load, [of_teams[n].load for n in names])
+    rows = []
+    for at, name in enumerate(names):
+        one = of_teams[name]
+        refill = one.connections[0] / one.setups[0] if one.setups[0] else 0.0
+        rows.append({
+            "team": name, "pool": contracts.teams[name].pool,
+            "connections": (one.connections[0], min(fleet, one.connections[1]), int(seats[at] + 1e-9)),
+            "setups_per_s": (one.setups[0], min(rate, one.setups[1]), setups[at]),
+            "load": (one.load[0], min(load, one.load[1]), loads[at]),
+            "guarantee_after_s": max(contracts.fleet.reclaim.within_s, refill)})
+    return rows
+
+
+def book_of(contracts: Contracts, balancers: int, index: int) -> Book:
+    """What one balancer enforces."""
+    fleet = contracts.fleet
+    connections, of_teams = parts(contracts, balancers, index)
+    teams = {}
+    for name, team in contracts.teams.items():
+        part = of_teams[name]
+        teams[name] = Terms(part.connections, part.setups, part.load, team.weight, team.pool, {
+            key: ClassTerms(one.share, one.max_deadline_ms or math.inf) for key, one in team.classes.items()})
+    return Book(connections, fleet.setups_per_s / balancers, teams, (fleet.load or math.inf) / balancers,
+                fleet.burst_s, fleet.reclaim.within_s, fleet.reclaim.reserve)
--- /dev/null
+++ b/snowwick/net/contracts.py
@@ -0,0 +1,113 @@
+"""The contract stage: each request is held to its team's limits before the module hears of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from snowwick.broker.contract import Contracts, book_of
+from snowwick.broker.ledger import Lease, Ledger, Refusal
+from snowwick.net import lines
+from snowwick.net.decider import MoveAway
+from snowwick.net.desks import Desks
+from snowwick.net.loop import Actor, Loop, Steps, Wait
+from snowwick.net.path import Ask, Stage, Turned
+
+
+class Look:
+    """To the reclaimer: something may have to be moved."""
+
+
+class Reclaimer(Actor):
+    """Has clients moved, at the ledger's pace, while there is something to move."""
+
+    lasting = True
+
+    def __init__(self, loop: Loop, ledger: Ledger) -> None:
+        super().__init__(loop)
+        self.ledger = ledger
+        self.until: float | None = None
+
+    def run(self) -> Steps:
+        self.until = None
+        while True:
+            yield Wait(until=self.until)
+            self.mail.clear()
+            now = self.loop.clock()
+            if self.until is None or now >= self.until:
+                for lease in self.ledger.step(now):
+                    front = lease.owner
+                    if isinstance(front, Actor):
+                        front.post(MoveAway("reclaimed"))
+                wait = self.ledger.due()
+                self.until = None if wait is None else now + wait
+
+    def look(self) -> None:
+        if self.until is None and self.ledger.due() is not None:
+            self.post(Look())
+
+
+class ContractStage(Stage):
+    """Finds the team and its pool, asks the ledger, and gives back once whatever was held."""
+
+    def __init__(self, loop: Loop, contracts: Contracts, desks: Desks, balancers: int, index: int, seed: int,
+                 longest_ms: float, come_again_ms: Callable[[], float]) -> None:
+        self.loop, self.contracts, self.desks = loop, contracts, desks
+        self.balancers, self.index = balancers, index
+        self.longest_ms, self.come_again_ms = longest_ms, come_again_ms
+        self.tenants = contracts.tenants
+        self.ledger = Ledger(book_of(contracts, balancers, index), seed, longest_ms / 1000.0)
+        self.reclaimer = Reclaimer(loop, self.ledger)
+        self._pools(running=False)
+
+    def apply(self, contracts: Contracts) -> None:
+        """Other contracts from now on, all at once."""
+        self.contracts, self.tenants = contracts, contracts.tenants
+        self.ledger.apply(book_of(contracts, self.balancers, self.index), self.loop.clock())
+        self._pools(running=True)
+        self.reclaimer.look()
+
+    def _pools(self, running: bool) -> None:
+        tenants = {pool: frozenset(tenant for team in self.contracts.teams.values() if team.pool == pool
+                                   for tenant in team.tenants) for pool in self.contracts.pools}
+        self.desks.set(self.contracts.pools, tenants, running)
+
+    def _busy(self, reason: str, detail: str = "", wait_ms: float | None = None) -> Turned:
+        wait = self.come_again_ms() if wait_ms is None else min(wait_ms, self.longest_ms)
+        return Turned(lines.busy(max(1.0, wait) if self.longest_ms > 0 else 0.0), reason, detail)
+
+    def enter(self, ask: Ask) -> Turned | None:
+        now, team = self.loop.clock(), self.tenants.get(ask.tenant)
+        if ask.at:  # it stood before: counted, never refused
+            ask.team = team or ""
+            ask.lease = self.ledger.adopt(now, ask.client, team, ask.class_name) if team else None
+            if team is not None:
+                ask.decider = self.desks.deciders[self.contracts.teams[team].pool]
+            return None
+        if team is None:
+            return self._busy("no-contract")
+        ask.team = team
+        pool = self.contracts.teams[team].pool
+        if not self.desks.ready(pool):
+            return self._busy("no-destinations", f"pool={pool}")
+        got = self.ledger.ask(now, ask.client, team, ask.class_name, ask.opening.key)
+        if isinstance(got, Refusal):
+            self.reclaimer.look()
+            return self._busy(got.reason, f"limit={got.limit}", 1000.0 * got.wait)
+        ask.lease, ask.decider = got, self.desks.deciders[pool]
+        ask.wait = min(ask.wait, self.ledger.max_wait(team, ask.class_name))
+        self.reclaimer.look()
+        return None
+
+    def stands(self, ask: Ask) -> None:
+        if isinstance(ask.lease, Lease):
+            self.ledger.stands(ask.lease)
+            self.reclaimer.look()
+
+    def load(self, ask: Ask, figure: float) -> None:
+        if isinstance(ask.lease, Lease):
+            self.ledger.load(ask.lease, figure)
+            self.reclaimer.look()
+
+    def over(self, ask: Ask) -> None:
+        if isinstance(ask.lease, Lease):
+            self.ledger.release(ask.lease)
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -131,6 +131,10 @@
     reason: str
 
 
+class Retire:
+    """To a decider: its pool is over and nothing of it stands any more."""
+
+
 class Decider(Actor):
     """Feeds the module one event at a time on one clock and carries out what it answers."""
 
@@ -154,6 +158,8 @@
                 until = self.loop.clock() + max(0.0, self.alarms[0][0] - self.now_ms()) / 1000.0
             yield Wait(until=until)
             for message in self.take():
+                if isinstance(message, Retire):
+                    return
                 event = self._translate(message)
                 if event is not None:
                     self._handle(event)
--- /dev/null
+++ b/snowwick/net/desks.py
@@ -0,0 +1,87 @@
+"""The deciders of the pools: one instance of the module for each, fed the news of its own destinations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
+
+from snowwick.net.decider import Decider, PoolNews, Retire, Silent, Slow
+
+if TYPE_CHECKING:
+    from snowwick.broker.pools import Labels, Match, Split
+
+ALL = ""  # the one pool of a program without contracts
+
+
+class Desks:
+    """Without pools one decider hears everything; with them each hears its part.
+
+    A pool that a change of contracts leaves out takes nothing new, but its decider goes on for those that
+    stand there, and ends with the last of them.
+    """
+
+    def __init__(self, make: Callable[[str, frozenset[str] | None], Decider],
+                 labels: Callable[[], Mapping[int, Labels]]) -> None:
+        self.make, self.labels = make, labels
+        self.deciders: dict[str, Decider] = {}
+        self.split: Split | None = None
+        self.current: frozenset[str] = frozenset([ALL])
+
+    def start(self) -> None:
+        """One decider for everything, unless pools have been set before."""
+        if not self.deciders:
+            self.deciders[ALL] = self.make(ALL, None)
+        for decider in self.deciders.values():
+            decider.start()
+
+    def set(self, matches: Mapping[str, Match], tenants: Mapping[str, frozenset[str]], running: bool) -> None:
+        """Other pools from now on, each with the tenants whose requests go there."""
+        from snowwick.broker.pools import Split
+
+        standing = {name: one for name, one in self.deciders.items() if name not in matches and one.clients}
+        for name in self.deciders.keys() - standing.keys() - matches.keys():
+            self.deciders.pop(name).post(Retire())
+        fresh = [name for name in matches if name not in self.deciders]
+        for name in fresh:
+            self.deciders[name] = self.make(name, tenants[name])
+            if running:
+                self.deciders[name].start()
+        self.current = frozenset(matches)
+        if self.split is None:
+            self.split = Split(matches)
+            return
+        old = {name: self.split.matches[name] for name in standing}
+        for name, news in self.split.rematch({**matches, **old}).items():
+            self.deciders[name].post(news)
+
+    def ready(self, pool: str) -> bool:
+        """Has the pool a destination that takes new connections?"""
+        return self.split is None or self.split.ready(pool)
+
+    def of_destination(self, destination: int) -> Decider:
+        """The decider of the pool that a destination is in, or any where it is in none."""
+        members = self.split.members if self.split is not None else {}
+        return next((self.deciders[name] for name, held in members.items() if destination in held),
+                    next(iter(self.deciders.values())))
+
+    def news(self, news: PoolNews) -> None:
+        """Discovery's list has changed, or could not be had."""
+        if self.split is None:
+            self.deciders[ALL].post(news)
+            return
+        for name, part in self.split.news(news, self.labels()).items():
+            self.deciders[name].post(part)
+        for name in [name for name, one in self.deciders.items()
+                     if name not in self.current and not one.clients]:
+            self.deciders.pop(name).post(Retire())
+            self.split.rematch_without(name)
+
+    def hear(self, message: Slow | Silent) -> None:
+        """What the gauge has to tell."""
+        if isinstance(message, Silent):
+            for decider in self.deciders.values():
+                decider.post(message)
+            return
+        ask: Any = getattr(message.client, "ask", None)
+        if ask is not None:
+            ask.post(message)
--- a/snowwick/net/pool.py
+++ b/snowwick/net/pool.py
@@ -13,6 +13,7 @@
 import h11
 
 from crowgap import interface as i
+from snowwick.broker.pools import Labels
 from snowwick.net.loop import READ, TIME, WRITE, Actor, Loop, Steps, Wait
 from snowwick.net.peer import CHUNK, prepare
 
@@ -60,6 +61,7 @@
     def __init__(self, left_out: Callable[[str], None]) -> None:
         self.left_out, self.version = left_out, 0
         self.addresses: dict[int, tuple[str, int]] = {}
+        self.labels: dict[int, Labels] = {}  # of the destinations in the list, for pools
 
     def take(self, message: Any, kind: i.ListKind | None = None) -> i.ListUpdate:
         """Apply a list in discovery's form; raises CallFailed, and then nothing has changed."""
@@ -73,19 +75,25 @@
         rows = []
         for one in servers:
             try:
-                rows.append((parse_address(one["addr"]), self._entry(one)))
+                rows.append((parse_address(one["addr"]), self._entry(one), self._labels(one)))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 # One entry that cannot be read must not hide the news of all the others.
                 self.left_out(f"{type(error).__name__} {error}")
         self.version = version
         if full:
-            self.addresses = {}
-        for address, entry in rows:
+            self.addresses, self.labels = {}, {}
+        for address, entry, labels in rows:
             if entry.state is i.State.GONE:
                 self.addresses.pop(entry.backend, None)
+                self.labels.pop(entry.backend, None)
             else:
-                self.addresses[entry.backend] = address
-        return i.ListUpdate(kind or (i.ListKind.FULL if full else i.ListKind.CHANGES), [e for _, e in rows])
+                self.addresses[entry.backend], self.labels[entry.backend] = address, labels
+        kind = kind or (i.ListKind.FULL if full else i.ListKind.CHANGES)
+        return i.ListUpdate(kind, [entry for _, entry, _ in rows])
+
+    @staticmethod
+    def _labels(one: dict[str, Any]) -> Labels:
+        return Labels(str(one.get("kind", "")), str(one.get("zone", "")), str(one.get("cell", "")))
 
     @staticmethod
     def _entry(one: dict[str, Any]) -> i.BackendEntry:
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -10,18 +10,25 @@
 from collections.abc import Callable
 from dataclasses import fields, replace
 from itertools import islice
+from typing import TYPE_CHECKING
+from zlib import crc32
 
 from crowgap.interface import ListKind
 from snowwick.config import LIVE, BadConfig, Config, reload
 from snowwick.log import Log
 from snowwick.net.decider import Decider, MoveAway
+from snowwick.net.desks import Desks
 from snowwick.net.front import Front, MakeRoom
 from snowwick.net.gauge import Gauge
 from snowwick.net.loop import Actor, Loop, Steps, Wait
-from snowwick.net.path import Decisions, Openings, Path, Room
+from snowwick.net.path import Ask, Decisions, Openings, Path, Room
 from snowwick.net.peer import CHUNK
 from snowwick.net.pool import CallFailed, NewAddress, Pool, WatchPool
 
+if TYPE_CHECKING:
+    from snowwick.broker.contract import Contracts
+    from snowwick.net.contracts import ContractStage
+
 BACKLOG = 1024
 OWN_SOCKETS = 12  # kept for the program itself: standard streams, epoll, signals, listening, discovery
 ANSWERING = 8  # kept for giving a busy reply to those for whom there is no route step
@@ -91,7 +98,9 @@
     """One balancer."""
 
     def __init__(self, config: Config, loop: Loop | None = None,
-                 read_again: Callable[[], Config] = reload) -> None:
+                 read_again: Callable[[], Config] = reload,
+                 contracts: Callable[[], Contracts] | None = None) -> None:
+        """``contracts`` reads the operators' file, now and at each reload; it may raise BadContracts."""
         self.config, self.read_again = config, read_again
         self.loop = loop or Loop(Log())
         self.log = self.loop.log
@@ -101,12 +110,38 @@
         self.limit = config.sockets - OWN_SOCKETS
         self.draining = False
         self.offset_ms = 1000.0 * (time.time() - self.loop.clock())
-        self.decider = Decider(self.loop, config.settings, config.seed, self.now_ms,
-                               lambda: self.pool.post(WatchPool()))
-        self.pool = Pool(self.loop, config.discovery, self.decider.post)
-        self.gauge = Gauge(self.loop, self.decider.post, config.message_aim_ms)
-        self.path = Path([Openings(config.deadlines, config.tenants), Room(self.full, self.come_again_ms),
-                          Decisions(lambda _: self.decider)])
+        self.desks = Desks(self.make_decider, lambda: self.pool.config.labels)
+        self.pool = Pool(self.loop, config.discovery, self.desks.news)
+        self.gauge = Gauge(self.loop, self.desks.hear, config.message_aim_ms)
+        self.read_contracts = contracts
+        self.contract_stage = self.make_contract_stage(contracts()) if contracts is not None else None
+        stages = [Openings(config.deadlines, config.tenants), Room(self.full, self.come_again_ms),
+                  self.contract_stage, Decisions(self.choose_decider)]
+        self.path = Path([stage for stage in stages if stage is not None])
+
+    def make_decider(self, pool: str, tenants: frozenset[str] | None) -> Decider:
+        """One instance of the module, told of no tenants but those of its pool."""
+        settings, seed = self.config.settings, self.config.seed
+        if tenants is not None:
+            settings = replace(settings, tenants=tuple(t for t in settings.tenants if t.name in tenants))
+            seed ^= crc32(pool.encode())
+        return Decider(self.loop, settings, seed, self.now_ms, lambda: self.pool.post(WatchPool()))
+
+    def make_contract_stage(self, contracts: Contracts) -> ContractStage:
+        from snowwick.net.contracts import ContractStage  # msgspec comes with it: only where it is wanted
+
+        settings = self.config.settings
+        return ContractStage(self.loop, contracts, self.desks, settings.balancers, settings.index,
+                             self.config.seed, settings.max_retry_after, self.come_again_ms)
+
+    def choose_decider(self, ask: Ask) -> Decider:
+        """For an ask that no contract has given a pool."""
+        return self.desks.of_destination(self.number(ask.at)) if ask.at else self.decider
+
+    @property
+    def decider(self) -> Decider:
+        """The one decider, or the first of several."""
+        return next(iter(self.desks.deciders.values()))
 
     @property
     def groups(self) -> bool:
@@ -132,10 +167,13 @@
         self.listener.setblocking(False)
         self.listener.bind(self.config.listen)
         self.listener.listen(BACKLOG)
-        for actor in (self.decider, self.pool, self.gauge):
+        self.desks.start()
+        for actor in (self.pool, self.gauge):
             actor.start()
+        if self.contract_stage is not None:
+            self.contract_stage.reclaimer.start()
         try:
-            self.decider.post(self.pool.config.take(self.config.known, ListKind.REMEMBERED))
+            self.desks.news(self.pool.config.take(self.config.known, ListKind.REMEMBERED))
         except CallFailed as error:
             self.log.event("bad-list", "known: {error}", error=str(error))
         Acceptor(self, self.listener).start()
@@ -159,10 +197,14 @@
             self.loop.close()
 
     def reload(self) -> None:
-        """Read the configuration again.  Only the address of discovery changes live."""
+        """Read the configuration and the contracts again, and take both or neither.
+
+        Of the configuration only the address of discovery changes live; contracts change whole.
+        """
         try:
             new = self.read_again()
-        except BadConfig as error:
+            contracts = self.read_contracts() if self.read_contracts is not None else None
+        except (BadConfig, ValueError) as error:
             self.log.event("reload-refused", "reload: {error}; the old configuration stays", error=str(error))
             return
         waiting = [one.name for one in fields(Config)
@@ -175,6 +217,9 @@
         if new.discovery != self.config.discovery:
             self.config = replace(self.config, discovery=new.discovery)
             self.pool.post(NewAddress(new.discovery))
+        if contracts is not None and self.contract_stage is not None:
+            self.contract_stage.apply(contracts)
+            self.log.event("contracts", "reload: contracts of {teams} teams", teams=len(contracts.teams))
 
     def drain(self) -> Steps:
         """Answer whoever still comes, have every client move, leave once all have gone.
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -24,6 +24,7 @@
 import time
 from typing import Any
 
+from snowwick.broker.contract import Contracts, parse
 from snowwick.config import Config, check
 from snowwick.log import Log
 from snowwick.net.loop import Loop
@@ -59,7 +60,8 @@
 class World:
     """One balancer, the destinations ``s-1`` and ``s-2`` at one address, and discovery, all in one thread."""
 
-    def __init__(self, **changes: Any) -> None:
+    def __init__(self, contracts: str = "", **changes: Any) -> None:
+        """``contracts`` is the text of a contracts file; it may be replaced before a reload."""
         self.clock, self.servers, self.discovery = Clock(), listener(), listener()
         self.pools = {"pool": self.discovery, "pool2": listener()}
         self.calls: list[str] = []
@@ -73,19 +75,24 @@
                "settings": SETTINGS,
                "known": {"version": 1, "full": True,
                          "servers": [self.server(name, self.servers) for name in ("s-1", "s-2")]}}
-        self.setup = {**raw, **changes}
+        self.setup, self.contracts = {**raw, **changes}, contracts
         self.service = Service(self.config(self.setup), Loop(log, self.clock),
-                               read_again=lambda: self.config(self.setup))
+                               read_again=lambda: self.config(self.setup),
+                               contracts=self.read_contracts if contracts else None)
         self.loop = self.service.loop
         self.service.start()
 
+    def read_contracts(self) -> Contracts:
+        tenants = [one["name"] for one in self.setup["settings"]["tenants"]]
+        return parse(self.contracts, ["feed"], tenants)
+
     @staticmethod
     def config(raw: dict[str, Any]) -> Config:
         return check(raw)
 
     @staticmethod
-    def server(name: str, sock: socket.socket, state: str = "in_service") -> dict[str, Any]:
-        return {"id": name, "addr": address(sock), "state": state}
+    def server(name: str, sock: socket.socket, state: str = "in_service", kind: str = "") -> dict[str, Any]:
+        return {"id": name, "addr": address(sock), "state": state, "kind": kind}
 
     def close(self) -> None:
         self.loop.close()
