--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -267,6 +267,8 @@
                     self.reason = f"destination-{message.outcome.value}"
                 self._step_over(message.outcome, message.elapsed, final=True)
         else:
+            if isinstance(message, End) and message.reset and not self.closing:
+                self.reason = "destination-reset"
             super().on_mail(message)
 
 
