--- a/snowwick/broker/bookings.py
+++ b/snowwick/broker/bookings.py
@@ -20,8 +20,8 @@
 WAYS = 4  # entries of the table that a fingerprint may be in
 EARLY, LATE = 0.05, 2.0  # s that a client may come before its time, and after it
 RATE_OVER = 8.0  # s over which the rate of those let in is taken
-MISSES, STEP = 0.08, 0.02  # part of the promised that may find no room; how far each lowers the pace
-SLOWEST, FASTEST = 0.4, 1.0  # bounds of the pace, in parts of the rate of those let in
+MISSES, STEP = 0.05, 0.03  # part of the promised that may find no room; how far each lowers the pace
+SLOWEST, FASTEST, FIRST = 0.4, 0.95, 0.7  # bounds of the pace and its start, in parts of the rate let in
 AGAIN = 2.0, 12.0  # places after which one who found no room is to come again, at least and at most
 
 
@@ -30,17 +30,17 @@
 
     def __init__(self, size: int = 1 << 15) -> None:
         self.mask = size // WAYS - 1
-        self.prints = array("L", bytes(8 * size))
+        self.prints = array("L", bytes(array("L").itemsize * size))
         self.due = array("d", bytes(8 * size))
 
     @staticmethod
-    def fingerprint(team: str, class_name: str, key: str) -> int:
-        text = f"{team}\0{class_name}\0{key}".encode()
-        return crc32(text) << 32 | crc32(text[::-1]) | 1
+    def fingerprint(salt: int, key: str) -> int:
+        """Of a client's key; the salt tells one class of one team from another.  Never 0, which is free."""
+        return crc32(key.encode(), salt) or 1
 
     def find(self, mark: int, now: float) -> float | None:
         """When that client was told to come, unless it has let the time pass."""
-        base = (mark >> 32 & self.mask) * WAYS
+        base = (mark & self.mask) * WAYS
         for at in range(base, base + WAYS):
             if self.prints[at] == mark:
                 return self.due[at] if now <= self.due[at] + LATE else None
@@ -48,7 +48,7 @@
 
     def set(self, mark: int, due: float) -> None:
         """Promise; in a full row the one whose time is nearest, or past, gives way."""
-        base = (mark >> 32 & self.mask) * WAYS
+        base = (mark & self.mask) * WAYS
         at = next((n for n in range(base, base + WAYS) if self.prints[n] == mark), None)
         if at is None:
             at = min(range(base, base + WAYS), key=self.due.__getitem__)
@@ -56,7 +56,7 @@
 
     def drop(self, mark: int) -> None:
         """The promise is kept."""
-        base = (mark >> 32 & self.mask) * WAYS
+        base = (mark & self.mask) * WAYS
         for at in range(base, base + WAYS):
             if self.prints[at] == mark:
                 self.prints[at], self.due[at] = 0, 0.0
@@ -68,7 +68,7 @@
     __slots__ = ("at", "count", "next", "pace")
 
     def __init__(self) -> None:
-        self.next, self.count, self.at, self.pace = -math.inf, 0.0, 0.0, FASTEST
+        self.next, self.count, self.at, self.pace = -math.inf, 0.0, 0.0, FIRST
 
     def busy(self, now: float) -> bool:
         """Are there places booked that have not come up yet?"""
--- a/snowwick/broker/budget.py
+++ b/snowwick/broker/budget.py
@@ -21,12 +21,12 @@
 class Share:
     """One team's part of one resource at this balancer.  ``leaving`` is held, but has been asked to go."""
 
-    __slots__ = ("ceiling", "guarantee", "held", "leaving", "marked", "owner", "spent", "stamp", "weight")
+    __slots__ = ("ceiling", "guarantee", "held", "leaving", "marked", "owner", "ranked", "spent", "weight")
 
     def __init__(self, owner: Any = None) -> None:
         self.owner = owner
         self.guarantee = self.ceiling = self.held = self.leaving = self.marked = 0.0
-        self.weight, self.stamp, self.spent = 1.0, 0, 0.0
+        self.weight, self.spent, self.ranked = 1.0, 0.0, 0.0
 
     @property
     def staying(self) -> float:
@@ -52,13 +52,15 @@
         self.limit, self.reserve_part, self.whole = limit, reserve_part, whole
         self.total = self.leaving = self.unused = self.marked = 0.0
         self.marks: deque[tuple[float, Share, float]] = deque()  # until when, whose, how much; oldest first
-        self._heap: list[tuple[float, int, int, Share]] = []  # borrowers, the richest first, stale ones too
+        # Borrowers by a level that each has had: never under the one it has now.  ``ranked`` names the entry
+        # that counts; who falls is put right when its entry comes up, who rises gets a new one.
+        self._heap: list[tuple[float, int, Share]] = []
         self._count = count()
         self.shares = 0  # how many there are, for the heap's bound
 
     def reserve(self) -> float:
         """Room that is never lent: an owner's first asks find it before anything has been moved."""
-        kept = self.reserve_part * max(0.0, self.unused)
+        kept = self.reserve_part * self.unused
         return math.ceil(kept - SLACK) if self.whole else kept
 
     def set(self, share: Share, guarantee: float, ceiling: float, weight: float) -> None:
@@ -70,11 +72,15 @@
 
     def add(self, share: Share, amount: float) -> None:
         """It holds more, or less."""
-        self.unused -= share.unused
-        share.held += amount
+        before = share.held
+        after = share.held = before + amount
         self.total += amount
-        self.unused += share.unused
-        self._rank(share)
+        guarantee = share.guarantee
+        if before < guarantee or after < guarantee:
+            self.unused += (guarantee - after if after < guarantee else 0.0) - (
+                guarantee - before if before < guarantee else 0.0)
+        if after > guarantee:
+            self._rank(share)
 
     def leave(self, share: Share, amount: float) -> None:
         """So much of what it holds has been asked to go; a negative amount has gone."""
@@ -83,18 +89,31 @@
         self._rank(share)
 
     def _rank(self, share: Share) -> None:
-        share.stamp += 1
-        if share.level > SLACK:
-            heapq.heappush(self._heap, (-share.level, next(self._count), share.stamp, share))
+        level = (share.held - share.leaving - share.guarantee) / share.weight
+        if level > share.ranked + SLACK:
+            share.ranked = level
+            heapq.heappush(self._heap, (-level, next(self._count), share))
             if len(self._heap) > 64 + 4 * self.shares:
-                self._heap = [row for row in self._heap if row[2] == row[3].stamp]
+                self._heap = [row for row in self._heap if -row[0] == row[2].ranked]
                 heapq.heapify(self._heap)
 
     def richest(self) -> Share | None:
         """The share with most beyond its guarantee, for its weight."""
-        while self._heap and self._heap[0][2] != self._heap[0][3].stamp:
-            heapq.heappop(self._heap)
-        return self._heap[0][3] if self._heap else None
+        heap = self._heap
+        while heap:
+            level, _, share = heap[0]
+            if -level != share.ranked:
+                heapq.heappop(heap)
+                continue
+            now = share.level
+            if now >= share.ranked - SLACK:
+                return share
+            share.ranked = max(0.0, now)
+            if now > SLACK:
+                heapq.heapreplace(heap, (-now, next(self._count), share))
+            else:
+                heapq.heappop(heap)
+        return None
 
     def entitled(self, share: Share, amount: float) -> bool:
         """Is it still within its guarantee with so much more?"""
@@ -102,10 +121,10 @@
 
     def room(self, share: Share, amount: float, spare: float = 0.0) -> bool:
         """Is there room for so much more, ``spare`` left over?  The ceiling is another question."""
-        if self.entitled(share, amount):
-            return self.total + amount <= self.limit + SLACK
-        others = self.marked - share.marked
-        return self.total + amount + spare + self.reserve() + others <= self.limit + SLACK
+        free = self.limit + SLACK - self.total - amount
+        if free < 0.0 or share.held + amount <= share.guarantee + SLACK:
+            return free >= 0.0
+        return free >= spare + self.reserve() + self.marked - share.marked
 
     def mark(self, until: float, share: Share, amount: float) -> bool:
         """Keep the room that is freed next for a share that was refused, if it is owed any."""
@@ -128,6 +147,8 @@
 
     def used(self, share: Share, amount: float) -> None:
         """A share for which room was kept has taken some."""
+        if not share.marked:
+            return
         amount = min(amount, share.marked)
         share.marked -= amount
         share.spent += amount
@@ -151,8 +172,10 @@
         The reserve is brought back once half of it is gone: an owner whose connections come and go must not
         have a borrower moved for each.
         """
-        free = self.limit - (self.total - self.leaving)
-        short = free < self.reserve() / 2.0 - SLACK or free + SLACK < self.marked
-        if short or (self.marked > 0.0 and free + SLACK < self.marked + self.reserve()):
-            return self.richest()
-        return None
+        return self.richest() if self.short() else None
+
+    def short(self) -> bool:
+        """Is less free than is to be kept?"""
+        free = self.limit - self.total + self.leaving + SLACK
+        reserve = self.reserve()
+        return free < reserve / 2.0 or (self.marked > 0.0 and free < self.marked + reserve)
--- a/snowwick/broker/gcra.py
+++ b/snowwick/broker/gcra.py
@@ -15,35 +15,42 @@
     no further; one that steps back counts as standing still.
     """
 
-    __slots__ = ("arrival", "burst", "rate")
+    __slots__ = ("arrival", "burst", "rate", "slack", "step")
 
     def __init__(self, rate: float, burst: float) -> None:
-        self.rate, self.burst, self.arrival = rate, max(1.0, burst), -math.inf
+        self.arrival = -math.inf
+        self.set(rate, burst)
 
-    def conforms(self, now: float, keep: float = 0.0) -> bool:
-        """May one unit pass now and leave ``keep`` units of the burst?"""
-        if self.rate <= 0.0:
-            return False
-        if self.rate == math.inf:
-            return True
-        return self.arrival - now <= (self.burst - 1.0 - keep) / self.rate + 1e-9
+    def set(self, rate: float, burst: float) -> None:
+        """Go on at another rate; what has passed keeps the time it has used."""
+        self.rate, self.burst = rate, max(1.0, burst)
+        self.step = 1.0 / rate if rate > 0.0 else math.inf  # s that a unit takes
+        # How far ahead of the clock a unit may arrive: never, where nothing may pass.
+        self.slack = (self.burst - 1.0) * self.step + 1e-9 if 0.0 < rate < math.inf else (
+            math.inf if rate > 0.0 else -math.inf)
+
+    def conforms(self, now: float) -> bool:
+        """May one unit pass now?"""
+        return self.arrival - now <= self.slack and self.rate > 0.0
+
+    def leaves(self, now: float, part: float) -> bool:
+        """May one unit pass now and leave that part of the burst unused?"""
+        return self.rate > 0.0 and self.arrival - now <= self.slack - part * self.burst * self.step
 
     def take(self, now: float) -> None:
         """One unit passes, conforming or not."""
-        if 0.0 < self.rate < math.inf:
-            self.arrival = max(self.arrival, now) + 1.0 / self.rate
+        if self.step < math.inf:
+            self.arrival = (self.arrival if self.arrival > now else now) + self.step
 
     def wait(self, now: float) -> float:
         """Seconds until one unit conforms."""
         if self.rate <= 0.0:
             return math.inf
-        if self.rate == math.inf:
-            return 0.0
-        return max(0.0, self.arrival - now - (self.burst - 1.0) / self.rate)
+        return max(0.0, self.arrival - now - self.slack) if self.rate < math.inf else 0.0
 
     def change(self, now: float, rate: float, burst: float) -> None:
         """Go on at another rate with as many units of the burst used as before."""
         used = max(0.0, self.arrival - now) * self.rate if 0.0 < self.rate < math.inf else 0.0
-        self.rate, self.burst = rate, max(1.0, burst)
+        self.set(rate, burst)
         if used and 0.0 < rate < math.inf:
             self.arrival = now + min(used, self.burst) / rate
--- a/snowwick/broker/ledger.py
+++ b/snowwick/broker/ledger.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from snowwick.broker.bookings import AGAIN, EARLY, Promises, Queue
 from snowwick.broker.budget import Budget, Share
@@ -23,7 +24,8 @@
 IDLE = 0.9  # of the fleet's burst that is unused while nobody has to care for fairness
 KEEP = 0.5  # of a burst that those leave who were promised nothing, or who borrow beyond their fair rate
 LEAST_LENT = 0.25  # of the connections: the pace serves those who share beyond guarantees too
-SPARE, MOST_SPARE = 0.02, 8  # of a ceiling that those leave who were promised nothing, while others were
+SPARE, MOST_SPARE = 0.03, 4  # of a ceiling that those leave who were promised nothing, while others were
+SPARE_FROM = 20  # connections: a smaller ceiling leaves none
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,11 +64,12 @@
 class ClassState:
     """One class of one team."""
 
-    __slots__ = ("held", "name", "peak", "queue", "seats", "share")
+    __slots__ = ("held", "max_wait", "peak", "queue", "salt", "seats")
 
-    def __init__(self, name: str) -> None:
-        self.name, self.held, self.seats, self.share = name, 0, math.inf, 1.0
-        self.peak, self.queue = Gcra(0.0, 1.0), Queue()
+    def __init__(self, team: str, name: str) -> None:
+        self.held, self.seats, self.max_wait = 0, math.inf, math.inf
+        self.peak: Gcra | None = None  # none where the class may use all that the team may
+        self.queue, self.salt = Queue(), crc32(f"{team}\0{name}\0".encode())
 
 
 class TeamState:
@@ -97,7 +100,7 @@
     leaving: bool = False
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Refusal:
     """Not let in: the reason code, which limit it was, and the seconds after which to come back."""
 
@@ -129,6 +132,7 @@
         The pace of moves goes on where it was: two changes in a row allow no more moves than one.
         """
         self.book, now = book, self._at(now)
+        self.by_load = book.load < math.inf or any(one.load[1] < math.inf for one in book.teams.values())
         self.seats.limit, self.seats.reserve_part = book.connections, book.reserve
         self.loads.limit, self.loads.reserve_part = book.load, book.reserve
         self.rate.change(now, book.setups, book.setups * book.burst)
@@ -152,17 +156,24 @@
         self.loads.set(team.load, *terms.load, terms.weight)
         team.committed.change(now, terms.setups[0], terms.setups[0] * burst)
         team.peak.change(now, terms.setups[1], terms.setups[1] * burst)
-        team.lent.burst = max(1.0, terms.setups[1] * burst)
         for name in terms.classes:
-            team.classes.setdefault(name, ClassState(name))
+            team.classes.setdefault(name, ClassState(team.name, name))
         for name in [name for name in team.classes if name not in terms.classes and terms.classes]:
             del team.classes[name]  # its leases hold on to it
         for name, cls in team.classes.items():
-            cls.share = terms.classes[name].share if name in terms.classes else 1.0
-            cls.seats = max(1.0, math.floor(cls.share * terms.connections[1] + 1e-9))
-            cls.peak.change(now, cls.share * terms.setups[1], cls.share * terms.setups[1] * burst)
+            self._set_class(cls, terms, terms.classes.get(name, ClassTerms()), now)
         self.excess[team] = None
 
+    def _set_class(self, cls: ClassState, terms: Terms, own: ClassTerms, now: float) -> None:
+        cls.max_wait = own.max_wait
+        if own.share >= 1.0:
+            cls.peak, cls.seats = None, math.inf
+            return
+        rate = own.share * terms.setups[1]
+        cls.seats = max(1.0, math.floor(own.share * terms.connections[1] + 1e-9))
+        cls.peak = cls.peak or Gcra(rate, rate * self.book.burst)
+        cls.peak.change(now, rate, rate * self.book.burst)
+
     def _drop(self, team: TeamState) -> None:
         """A removed team keeps its name in the books until the last that it holds has gone."""
         team.gone = True
@@ -183,11 +194,6 @@
 
     # -- asks --------------------------------------------------------------------------------------------
 
-    def max_wait(self, team: str, class_name: str) -> float:
-        """The longest wait in ms that the contract grants the class."""
-        terms = self.book.teams[team].classes.get(class_name) if team in self.book.teams else None
-        return terms.max_wait if terms is not None else math.inf
-
     def ask(self, now: float, owner: object, team_name: str, class_name: str, key: str) -> Lease | Refusal:
         """A client of a team asks for a connection; ``key`` is the client's, the same each time it asks."""
         now, team = self._at(now), self.teams.get(team_name)
@@ -196,17 +202,20 @@
         cls = self._class(team, class_name)
         if cls is None:
             return Refusal("no-contract", "class", self._spread(self.longest))
-        self.seats.expire(now)
-        self.loads.expire(now)
+        if self.seats.marks or self.loads.marks:
+            self.seats.expire(now)
+            self.loads.expire(now)
         busy, mark, due = cls.queue.busy(now), 0, None
         if busy:
-            mark = self.promises.fingerprint(team_name, class_name, key)
+            mark = self.promises.fingerprint(cls.salt, key)
             due = self.promises.find(mark, now)
-        load = self._expected(team)
-        entitled = self.seats.entitled(team.seats, 1.0) and team.committed.conforms(now) \
-            and self.loads.entitled(team.load, load)
+        load = self._expected(team) if self.by_load else 0.0
         called = due is not None and now >= due - EARLY
-        limit = self._limit(now, team, cls, load, busy and not called and not entitled)
+        # Who is owed room need not leave any for those who were promised a place.
+        leave = busy and not called and not (
+            self.seats.entitled(team.seats, 1.0) and team.committed.conforms(now)
+            and self.loads.entitled(team.load, load))
+        limit = self._limit(now, team, cls, load, leave)
         if limit is None:
             if due is not None:
                 self.promises.drop(mark)
@@ -220,7 +229,7 @@
         if due is not None and not called:
             # The same time as before: who asks sooner is not let in sooner, nor booked twice.
             return Refusal(reason, which, due - now)
-        mark = mark or self.promises.fingerprint(team_name, class_name, key)
+        mark = mark or self.promises.fingerprint(cls.salt, key)
         if not rate:
             rate = cls.queue.rate(now)  # what frees room is not known, but how often there was some
         if called:  # its place came up without room: soon again, not at the end
@@ -245,16 +254,11 @@
     def _class(self, team: TeamState, name: str) -> ClassState | None:
         cls = team.classes.get(name)
         if cls is None and team.any_class:
-            cls = team.classes[name] = ClassState(name)
-            terms = self.book.teams[team.name]
-            cls.seats, burst = terms.connections[1], terms.setups[1] * self.book.burst
-            cls.peak = Gcra(terms.setups[1], burst)
+            cls = team.classes[name] = ClassState(team.name, name)
         return cls
 
     def _expected(self, team: TeamState) -> float:
         """The load that one more connection will bring: that of the team's others, else of all."""
-        if self.loads.limit == math.inf and team.load.ceiling == math.inf:
-            return 0.0
         if team.told:
             return team.load.held / team.told
         told = sum(one.told for one in self.teams.values())
@@ -266,28 +270,32 @@
 
         With ``leave`` the ask has to leave something over, for those who were promised a place.
         """
-        def kept(limit: Gcra) -> float:
-            return KEEP * limit.burst if leave else 0.0
-
-        if not cls.peak.conforms(now, kept(cls.peak)):
-            return "over-class", "rate", cls.peak.rate
-        if not team.peak.conforms(now, kept(team.peak)):
-            return "over-rate", "team", team.peak.rate
+        peak = cls.peak
+        if peak is not None and not (peak.leaves(now, KEEP) if leave else peak.conforms(now)):
+            return "over-class", "rate", peak.rate
+        peak = team.peak
+        if not (peak.leaves(now, KEEP) if leave else peak.conforms(now)):
+            return "over-rate", "team", peak.rate
         if not team.committed.conforms(now) and not self._may_borrow(now, team, leave):
             return "over-rate", "fleet", 0.0
-        spare = min(MOST_SPARE, math.floor(SPARE * min(team.seats.ceiling, self.seats.limit))) if leave else 0
+        spare = self._spare(team) if leave else 0
         if cls.held + 1 + spare > cls.seats:
             return "over-class", "connections", 0.0
         if team.seats.held + 1 + spare > team.seats.ceiling:
             return "over-connections", "team", 0.0
         if not self.seats.room(team.seats, 1.0, spare):
             return "over-connections", "fleet", 0.0
-        if team.load.held + load > team.load.ceiling + 1e-9:
+        if self.by_load and team.load.held + load > team.load.ceiling + 1e-9:
             return "over-load", "team", 0.0
-        if not self.loads.room(team.load, load):
+        if self.by_load and not self.loads.room(team.load, load):
             return "over-load", "fleet", 0.0
         return None
 
+    def _spare(self, team: TeamState) -> int:
+        """Connections that are left for those who were promised a place."""
+        most = min(team.seats.ceiling, self.seats.limit)
+        return min(MOST_SPARE, math.ceil(SPARE * most)) if most >= SPARE_FROM else 0
+
     def _may_borrow(self, now: float, team: TeamState, leave: bool) -> bool:
         """May a setup beyond the team's guaranteed rate pass?
 
@@ -295,15 +303,16 @@
         its weight, which rises while half of the burst is unused and falls while less is (the fair share of
         core-stateless fair queueing, Stoica et al. 1998, found by feedback).
         """
-        if self.rate.conforms(now, IDLE * self.rate.burst):
+        if self.rate.leaves(now, IDLE):
             return True
-        half = self.rate.conforms(now, KEEP * self.rate.burst)
+        half = self.rate.leaves(now, KEEP)
         self.fair *= 1.0 + FAIR_STEP if half else 1.0 - FAIR_STEP
         self.fair = min(max(self.fair, 1e-4 * self.book.setups), self.book.setups)
-        if not half and (leave or not self.rate.conforms(now)):
+        # The fair rate holds the burst about half used: those with no promise must find their share there.
+        if not half and not (self.rate.leaves(now, KEEP / 2.0) if leave else self.rate.conforms(now)):
             return False
-        team.lent.rate = max(1e-9, self.fair * self.book.teams[team.name].weight)
-        team.lent.burst = max(1.0, team.lent.rate * self.book.burst)
+        rate = self.fair * team.seats.weight
+        team.lent.set(rate, rate * self.book.burst)
         return team.lent.conforms(now)
 
     def _take(self, now: float, owner: object, team: TeamState, cls: ClassState) -> Lease:
@@ -311,8 +320,10 @@
             team.committed.take(now)
         else:
             team.lent.take(now)
-        for limit in (cls.peak, team.peak, self.rate):
-            limit.take(now)
+        if cls.peak is not None:
+            cls.peak.take(now)
+        team.peak.take(now)
+        self.rate.take(now)
         self.seats.used(team.seats, 1.0)
         lease = Lease(owner, team, cls, team.pool)
         self._count(lease, 1)
@@ -376,9 +387,14 @@
 
     def due(self) -> float | None:
         """Seconds until ``step`` should be called, None while nothing has to be moved."""
-        if self.misplaced or self.excess or self.seats.victim() or self.loads.victim():
-            return max(STEP, self.pace.wait(self.now))
-        return None
+        return max(STEP, self.pace.wait(self.now)) if self.needs_step() else None
+
+    def needs_step(self) -> bool:
+        """Has anything to be moved?"""
+        if self.misplaced or self.excess:
+            return True
+        return (self.seats.short() and self.seats.richest() is not None) or (
+            self.by_load and self.loads.short() and self.loads.richest() is not None)
 
     def step(self, now: float) -> list[Lease]:
         """The leases whose clients have to be moved now, as many as the pace allows."""
--- a/snowwick/broker/pools.py
+++ b/snowwick/broker/pools.py
@@ -46,10 +46,7 @@
         self.matches = dict(matches)
         self.entries: dict[int, tuple[BackendEntry, Labels]] = {}
         self.members: dict[str, set[int]] = {name: set() for name in matches}
-
-    def ready(self, pool: str) -> bool:
-        """Has the pool a destination that takes new connections?"""
-        return any(self.entries[one][0].state is State.READY for one in self.members.get(pool, ()))
+        self.usable: set[str] = set()  # pools with a destination that takes new connections
 
     def news(self, update: ListUpdate, labels: Mapping[int, Labels]) -> dict[str, ListUpdate]:
         """What each pool hears of an update; ``labels`` holds those of the update's entries."""
@@ -79,6 +76,7 @@
         """That pool is over; the others have nothing to hear of it."""
         self.matches.pop(name, None)
         self.members.pop(name, None)
+        self.usable.discard(name)
 
     def _of(self, name: str, kind: ListKind, changed: Mapping[int, BackendEntry] | None) -> ListUpdate:
         match, before = self.matches[name], self.members[name]
@@ -98,6 +96,9 @@
                     now.discard(number)
                     lost.append(entry)
         self.members[name] = now
+        self.usable.discard(name)
+        if any(self.entries[one][0].state is State.READY for one in now):
+            self.usable.add(name)
         return ListUpdate(kind, rows + [_gone(entry) for entry in lost])
 
 
--- a/snowwick/net/contracts.py
+++ b/snowwick/net/contracts.py
@@ -42,7 +42,7 @@
                 self.until = None if wait is None else now + wait
 
     def look(self) -> None:
-        if self.until is None and self.ledger.due() is not None:
+        if self.until is None and self.ledger.needs_step():
             self.post(Look())
 
 
@@ -54,14 +54,13 @@
         self.loop, self.contracts, self.desks = loop, contracts, desks
         self.balancers, self.index = balancers, index
         self.longest_ms, self.come_again_ms = longest_ms, come_again_ms
-        self.tenants = contracts.tenants
         self.ledger = Ledger(book_of(contracts, balancers, index), seed, longest_ms / 1000.0)
         self.reclaimer = Reclaimer(loop, self.ledger)
         self._pools(running=False)
 
     def apply(self, contracts: Contracts) -> None:
         """Other contracts from now on, all at once."""
-        self.contracts, self.tenants = contracts, contracts.tenants
+        self.contracts = contracts
         self.ledger.apply(book_of(contracts, self.balancers, self.index), self.loop.clock())
         self._pools(running=True)
         self.reclaimer.look()
@@ -70,38 +69,38 @@
         tenants = {pool: frozenset(tenant for team in self.contracts.teams.values() if team.pool == pool
                                    for tenant in team.tenants) for pool in self.contracts.pools}
         self.desks.set(self.contracts.pools, tenants, running)
+        self.tenants = {tenant: (name, self.contracts.teams[name].pool)
+                        for tenant, name in self.contracts.tenants.items()}
 
     def _busy(self, reason: str, detail: str = "", wait_ms: float | None = None) -> Turned:
-        wait = self.come_again_ms() if wait_ms is None else min(wait_ms, self.longest_ms)
-        return Turned(lines.busy(max(1.0, wait) if self.longest_ms > 0 else 0.0), reason, detail)
+        wait = self.come_again_ms() if wait_ms is None else wait_ms
+        return Turned(lines.busy(min(max(1.0, wait), self.longest_ms)), reason, detail)
 
     def enter(self, ask: Ask) -> Turned | None:
-        now, team = self.loop.clock(), self.tenants.get(ask.tenant)
+        now, found = self.loop.clock(), self.tenants.get(ask.tenant)
+        if found is None:
+            return self._busy("no-contract") if not ask.at else None
+        ask.team, pool = found
         if ask.at:  # it stood before: counted, never refused
-            ask.team = team or ""
-            ask.lease = self.ledger.adopt(now, ask.client, team, ask.class_name) if team else None
-            if team is not None:
-                ask.decider = self.desks.deciders[self.contracts.teams[team].pool]
+            ask.lease = self.ledger.adopt(now, ask.client, ask.team, ask.class_name)
+            ask.decider = self.desks.deciders[pool]
             return None
-        if team is None:
-            return self._busy("no-contract")
-        ask.team = team
-        pool = self.contracts.teams[team].pool
         if not self.desks.ready(pool):
             return self._busy("no-destinations", f"pool={pool}")
-        got = self.ledger.ask(now, ask.client, team, ask.class_name, ask.opening.key)
+        got = self.ledger.ask(now, ask.client, ask.team, ask.class_name, ask.opening.key)
         if isinstance(got, Refusal):
             self.reclaimer.look()
             return self._busy(got.reason, f"limit={got.limit}", 1000.0 * got.wait)
         ask.lease, ask.decider = got, self.desks.deciders[pool]
-        ask.wait = min(ask.wait, self.ledger.max_wait(team, ask.class_name))
+        ask.wait = min(ask.wait, got.cls.max_wait)
         self.reclaimer.look()
         return None
 
     def stands(self, ask: Ask) -> None:
         if isinstance(ask.lease, Lease):
             self.ledger.stands(ask.lease)
-            self.reclaimer.look()
+            if self.ledger.excess or self.ledger.misplaced:
+                self.reclaimer.look()
 
     def load(self, ask: Ask, figure: float) -> None:
         if isinstance(ask.lease, Lease):
--- a/snowwick/net/desks.py
+++ b/snowwick/net/desks.py
@@ -56,7 +56,7 @@
 
     def ready(self, pool: str) -> bool:
         """Has the pool a destination that takes new connections?"""
-        return self.split is None or self.split.ready(pool)
+        return self.split is None or pool in self.split.usable
 
     def of_destination(self, destination: int) -> Decider:
         """The decider of the pool that a destination is in, or any where it is in none."""
--- a/snowwick/net/path.py
+++ b/snowwick/net/path.py
@@ -49,7 +49,7 @@
                values.get("g", "") if groups else "", float(opening.wait_ms or 0), values.get("at", ""))
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Turned:
     """The request ends at this stage: its final answer, the reason code and more for the log."""
 
