--- a/example/toy_client.py
+++ b/example/toy_client.py
@@ -1,6 +1,6 @@
 """A toy client: opens a connection through the balancer, says a few lines, comes again while it is busy.
 
-    python example/toy_client.py [HOST:PORT]
+    python example/toy_client.py [HOST:PORT [TENANT]]
 """
 
 from __future__ import annotations
@@ -12,10 +12,10 @@
 TRIES = 30
 
 
-def talk(host: str, port: int, number: int) -> float | None:
+def talk(host: str, port: int, number: int, tenant: str) -> float | None:
     """One try; the seconds after which to come again, or None once it was served."""
     with socket.create_connection((host, port), 5.0) as sock, sock.makefile("rwb") as lines:
-        lines.write(b"OPEN %d truck-12 c=feed,t=demo,d=1200,g=trucks\r\n" % number)
+        lines.write(b"OPEN %d truck-12 c=feed,t=%s,d=1200,g=trucks\r\n" % (number, tenant.encode()))
         lines.flush()
         answer = lines.readline().decode().split()
         print(" ".join(answer), flush=True)
@@ -30,8 +30,9 @@
 
 def main() -> int:
     host, _, port = (sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:8081").rpartition(":")
+    tenant = sys.argv[2] if len(sys.argv) > 2 else "demo"
     for number in range(1, TRIES + 1):
-        wait = talk(host, int(port), number)
+        wait = talk(host, int(port), number, tenant)
         if wait is None:
             return 0
         time.sleep(wait)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,6 +16,7 @@
 import pytest
 from wire import SETTINGS, World, address, listener
 
+from snowwick.broker import contract as contracts
 from snowwick.config import BadConfig, check, load
 
 ROOT = Path(__file__).parent.parent
@@ -169,11 +170,29 @@
     assert client.returncode == 0 and said.splitlines()[-2:] == ["hello", "BYE"]
 
 
+def test_two_team_example_holds_the_smaller_one_to_its_contract() -> None:
+    with python("example/toy_server.py", "--discovery", "127.0.0.1:0") as toy:
+        with program(ROOT / "example" / "two-teams.json", GW_LISTEN="127.0.0.1:0",
+                     SNOWWICK_CONTRACTS="example/contracts.toml",
+                     GW_DISCOVERY=address_in(toy.stdout)) as process:
+            where, said = address_in(process.stderr), []
+            for tenant in ("depot", "retail", "retail", "depot"):
+                with python("example/toy_client.py", where, tenant) as client:
+                    said.append(client.communicate(timeout=60.0)[0].splitlines())
+            process.terminate()
+            assert process.wait(10.0) == 0
+        toy.terminate()
+    assert all(lines[-1] == "BYE" for lines in said)
+    assert said[2][0].startswith("BUSY ") and said[2][1].startswith("UP ")  # told when, and let in then
+    assert said[3][0].startswith("UP ")
+
+
 def test_deploy_file_names_what_there_is() -> None:
     """The operators start and measure what this file names, and run no longer module than 500 lines."""
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
     for path in [*deploy["policy"], *deploy["node"]]:
         assert (ROOT / path).exists(), path
+    contracts.load(ROOT / "deploy" / "contracts.toml")
     texts = [(ROOT / path).read_text(encoding="utf-8") for path in deploy["policy"]]
     assert sum(bool(line.strip()) for text in texts for line in text.splitlines()) <= 500
     with python(*deploy["run"].split()[2:-1], "version") as process:
