--- a/snowwick/broker/bookings.py
+++ b/snowwick/broker/bookings.py
@@ -49,9 +49,13 @@
     def set(self, mark: int, due: float) -> None:
         """Promise; in a full row the one whose time is nearest, or past, gives way."""
         base = (mark & self.mask) * WAYS
-        at = next((n for n in range(base, base + WAYS) if self.prints[n] == mark), None)
-        if at is None:
-            at = min(range(base, base + WAYS), key=self.due.__getitem__)
+        at, soonest = base, math.inf
+        for n in range(base, base + WAYS):
+            if self.prints[n] == mark:
+                at = n
+                break
+            if self.due[n] < soonest:
+                at, soonest = n, self.due[n]
         self.prints[at], self.due[at] = mark, due
 
     def drop(self, mark: int) -> None:
@@ -63,17 +67,13 @@
 
 
 class Queue:
-    """One class's places.  Times are seconds on the caller's clock."""
+    """One class's places.  Times are seconds on the caller's clock; ``next`` ahead of it: some wait."""
 
     __slots__ = ("at", "count", "next", "pace")
 
     def __init__(self) -> None:
         self.next, self.count, self.at, self.pace = -math.inf, 0.0, 0.0, FIRST
 
-    def busy(self, now: float) -> bool:
-        """Are there places booked that have not come up yet?"""
-        return self.next > now
-
     def let_in(self, now: float) -> None:
         """One more has been let in."""
         self.count = self.count * math.exp((self.at - now) / RATE_OVER) + 1.0
--- a/snowwick/broker/budget.py
+++ b/snowwick/broker/budget.py
@@ -50,6 +50,8 @@
 
     def __init__(self, limit: float, reserve_part: float, whole: bool) -> None:
         self.limit, self.reserve_part, self.whole = limit, reserve_part, whole
+        # With no marks there is room up to this total whatever is reserved: most asks need to know no more.
+        self.easy, self.guaranteed = limit, 0.0
         self.total = self.leaving = self.unused = self.marked = 0.0
         self.marks: deque[tuple[float, Share, float]] = deque()  # until when, whose, how much; oldest first
         # Borrowers by a level that each has had: never under the one it has now.  ``ranked`` names the entry
@@ -66,10 +68,15 @@
     def set(self, share: Share, guarantee: float, ceiling: float, weight: float) -> None:
         """Other limits for a share; what it holds stays."""
         self.unused -= share.unused
+        self.guaranteed += guarantee - share.guarantee
         share.guarantee, share.ceiling, share.weight = guarantee, ceiling, weight
         self.unused += share.unused
         self._rank(share)
 
+    def ease(self) -> None:
+        """Call after ``limit`` or shares were set."""
+        self.easy = self.limit - math.ceil(self.reserve_part * self.guaranteed)
+
     def add(self, share: Share, amount: float) -> None:
         """It holds more, or less."""
         before = share.held
@@ -121,6 +128,8 @@
 
     def room(self, share: Share, amount: float, spare: float = 0.0) -> bool:
         """Is there room for so much more, ``spare`` left over?  The ceiling is another question."""
+        if self.total + amount + spare <= self.easy and not self.marked:
+            return True
         free = self.limit + SLACK - self.total - amount
         if free < 0.0 or share.held + amount <= share.guarantee + SLACK:
             return free >= 0.0
@@ -176,6 +185,8 @@
 
     def short(self) -> bool:
         """Is less free than is to be kept?"""
+        if self.total <= self.easy and not self.marked:
+            return False
         free = self.limit - self.total + self.leaving + SLACK
         reserve = self.reserve()
         return free < reserve / 2.0 or (self.marked > 0.0 and free < self.marked + reserve)
--- a/snowwick/broker/gcra.py
+++ b/snowwick/broker/gcra.py
@@ -37,13 +37,6 @@
         """May one unit pass now and leave that part of the burst unused?"""
         return self.rate > 0.0 and self.arrival - now <= self.slack - part * self.burst * self.step
 
-    def unused(self, now: float) -> float:
-        """The part of the burst that is unused, 0 to 1."""
-        if self.rate <= 0.0 or self.rate == math.inf:
-            return 1.0 if self.rate > 0.0 else 0.0
-        ahead = self.arrival - now
-        return 1.0 if ahead <= 0.0 else max(0.0, 1.0 - ahead / (self.burst * self.step))
-
     def take(self, now: float) -> None:
         """One unit passes, conforming or not."""
         if self.step < math.inf:
--- a/snowwick/broker/ledger.py
+++ b/snowwick/broker/ledger.py
@@ -61,27 +61,29 @@
     reserve: float = 0.1  # of the unused guarantees
 
 
-class ClassState:
-    """One class of one team."""
+class ClassState(Queue):
+    """One class of one team, and the places that are booked for its clients."""
 
-    __slots__ = ("held", "max_wait", "peak", "queue", "salt", "seats")
+    __slots__ = ("held", "max_wait", "peak", "salt", "seats")
 
     def __init__(self, team: str, name: str) -> None:
+        super().__init__()
         self.held, self.seats, self.max_wait = 0, math.inf, math.inf
         self.peak: Gcra | None = None  # none where the class may use all that the team may
-        self.queue, self.salt = Queue(), crc32(f"{team}\0{name}\0".encode())
+        self.salt = crc32(f"{team}\0{name}\0".encode())
 
 
 class TeamState:
     """One team: its shares of the resources, its rates, its classes, and what stands, oldest first."""
 
-    __slots__ = ("any_class", "classes", "committed", "gone", "lent", "load", "name", "peak", "pool", "seats",
-                 "standing", "told")
+    __slots__ = ("any_class", "classes", "committed", "gone", "lent", "lent_step", "load", "name", "peak",
+                 "pool", "seats", "standing", "told")
 
     def __init__(self, name: str) -> None:
         self.name, self.pool, self.gone, self.any_class, self.told = name, "", False, True, 0
         self.seats, self.load = Share(self), Share(self)
-        self.committed, self.peak, self.lent = Gcra(0.0, 1.0), Gcra(0.0, 1.0), Gcra(0.0, 1.0)
+        self.committed, self.peak = Gcra(0.0, 1.0), Gcra(0.0, 1.0)
+        self.lent, self.lent_step = -math.inf, 0.0  # as Gcra.arrival and .step, of a rate that always changes
         self.classes: dict[str, ClassState] = {}
         self.standing: dict[Lease, None] = {}
 
@@ -146,6 +148,8 @@
         for name, terms in book.teams.items():
             self._set(self.teams.setdefault(name, TeamState(name)), terms, now)
         self.seats.shares = self.loads.shares = len(self.teams)
+        for budget in (self.seats, self.loads):
+            budget.ease()
 
     def _set(self, team: TeamState, terms: Terms, now: float) -> None:
         burst = self.book.burst
@@ -196,16 +200,27 @@
 
     def ask(self, now: float, owner: object, team_name: str, class_name: str, key: str) -> Lease | Refusal:
         """A client of a team asks for a connection; ``key`` is the client's, the same each time it asks."""
-        now, team = self._at(now), self.teams.get(team_name)
-        if team is None or team.gone:
+        team = self.teams.get(team_name)
+        if team is None:
+            return Refusal("no-contract", "team", self._spread(self.longest))
+        return self.ask_of(now, owner, team, class_name, key)
+
+    def ask_of(self, now: float, owner: object, team: TeamState, class_name: str,
+               key: str) -> Lease | Refusal:
+        """The same for who has looked the team up."""
+        if now >= self.now:
+            self.now = now
+        else:
+            now = self.now  # a clock that steps back stands still
+        if team.gone:
             return Refusal("no-contract", "team", self._spread(self.longest))
-        cls = self._class(team, class_name)
+        cls = team.classes.get(class_name) or self._class(team, class_name)
         if cls is None:
             return Refusal("no-contract", "class", self._spread(self.longest))
         if self.seats.marks or self.loads.marks:
             self.seats.expire(now)
             self.loads.expire(now)
-        busy, mark, due = cls.queue.busy(now), 0, None
+        busy, mark, due = cls.next > now, 0, None
         if busy:
             mark = self.promises.fingerprint(cls.salt, key)
             due = self.promises.find(mark, now)
@@ -220,8 +235,8 @@
             if due is not None:
                 self.promises.drop(mark)
             if called:
-                cls.queue.came(True)
-            cls.queue.let_in(now)
+                cls.came(True)
+            cls.let_in(now)
             return self._take(now, owner, team, cls)
         reason, which, rate = limit
         if which == "fleet":
@@ -231,12 +246,12 @@
             return Refusal(reason, which, due - now)
         mark = mark or self.promises.fingerprint(cls.salt, key)
         if not rate:
-            rate = cls.queue.rate(now)  # what frees room is not known, but how often there was some
+            rate = cls.rate(now)  # what frees room is not known, but how often there was some
         if called:  # its place came up without room: soon again, not at the end
-            cls.queue.came(False)
+            cls.came(False)
             place: float | None = now + self.random.uniform(*AGAIN) / max(rate, 1.0 / self.longest)
         else:
-            place = cls.queue.book(now, rate, self.longest)
+            place = cls.book(now, rate, self.longest)
         if place is None or place - now > self.longest:
             return Refusal(reason, which, self._spread(self.longest))
         self.promises.set(mark, place)
@@ -247,15 +262,12 @@
         now, team = self._at(now), self.teams.get(team_name)
         if team is None or team.gone or (cls := self._class(team, class_name)) is None:
             return None
-        lease = Lease(owner, team, cls, team.pool)
-        self._count(lease, 1)
-        return lease
+        return self._hold(owner, team, cls)
 
     def _class(self, team: TeamState, name: str) -> ClassState | None:
-        cls = team.classes.get(name)
-        if cls is None and team.any_class:
-            cls = team.classes[name] = ClassState(team.name, name)
-        return cls
+        if name not in team.classes and team.any_class:
+            team.classes[name] = ClassState(team.name, name)
+        return team.classes.get(name)
 
     def _expected(self, team: TeamState) -> float:
         """The load that one more connection will bring: that of the team's others, else of all."""
@@ -303,38 +315,41 @@
         its weight, which rises while half of the burst is unused and falls while less is (the fair share of
         core-stateless fair queueing, Stoica et al. 1998, found by feedback).
         """
-        unused = self.rate.unused(now)
+        limit = self.rate
+        ahead = limit.arrival - now
+        unused = 1.0 if ahead <= 0.0 or limit.rate == math.inf else 1.0 - ahead / (limit.burst * limit.step)
         # By time, not by asks: a thousand refused at once say no more than one.
-        passed, self.fair_at = min(FAIR_STEP, now - self.fair_at), now
-        self.fair *= 1.0 + FAIR_GAIN * passed * (2.0 * unused - 1.0)
-        self.fair = min(max(self.fair, 1e-4 * self.book.setups), self.book.setups)
+        passed = now - self.fair_at
+        if passed > 0.0:
+            self.fair_at, setups = now, self.book.setups
+            fair = self.fair * (1.0 + FAIR_GAIN * min(FAIR_STEP, passed) * (2.0 * max(0.0, unused) - 1.0))
+            self.fair = min(max(fair, 1e-4 * setups), setups)
         if unused >= IDLE:
             return True
         # The fair rate holds the burst about half used: those with no promise must find their share there.
-        if not (self.rate.leaves(now, KEEP / 2.0) if leave else self.rate.conforms(now)):
+        if not (limit.leaves(now, KEEP / 2.0) if leave else limit.conforms(now)):
             return False
         # What is unused counts at once as well, or the rate and what it leaves would swing round each other.
         rate = self.fair * team.seats.weight * (0.5 + unused)
-        team.lent.set(rate, rate * self.book.burst)
-        return team.lent.conforms(now)
+        team.lent_step = 1.0 / rate
+        return team.lent - now <= max(0.0, self.book.burst - team.lent_step) + 1e-9
 
     def _take(self, now: float, owner: object, team: TeamState, cls: ClassState) -> Lease:
         if team.committed.conforms(now):
             team.committed.take(now)
         else:
-            team.lent.take(now)
+            team.lent = (team.lent if team.lent > now else now) + team.lent_step
         if cls.peak is not None:
             cls.peak.take(now)
         team.peak.take(now)
         self.rate.take(now)
         self.seats.used(team.seats, 1.0)
-        lease = Lease(owner, team, cls, team.pool)
-        self._count(lease, 1)
-        return lease
+        return self._hold(owner, team, cls)
 
-    def _count(self, lease: Lease, sign: int) -> None:
-        lease.cls.held += sign
-        self.seats.add(lease.team.seats, float(sign))
+    def _hold(self, owner: object, team: TeamState, cls: ClassState) -> Lease:
+        cls.held += 1
+        self.seats.add(team.seats, 1.0)
+        return Lease(owner, team, cls, team.pool)
 
     def _owe(self, now: float, team: TeamState, load: float, reason: str) -> None:
         until = now + self.longest + KEPT_FOR
@@ -351,10 +366,11 @@
     def stands(self, lease: Lease) -> None:
         """The connection is up: from now on it can be moved."""
         if lease.held:
-            lease.team.standing[lease] = None
-            if lease.team.gone or lease.team.seats.over_ceiling():
-                self.excess[lease.team] = None
-            if lease.pool != lease.team.pool:
+            team = lease.team
+            team.standing[lease] = None
+            if team.gone or team.seats.held > team.seats.ceiling:
+                self.excess[team] = None
+            if lease.pool != team.pool:
                 self.misplaced[lease] = None
 
     def load(self, lease: Lease, figure: float) -> None:
@@ -378,13 +394,16 @@
         if lease.leaving:
             self.seats.leave(team.seats, -1.0)
             self.loads.leave(team.load, -lease.load)
-        self._count(lease, -1)
+        lease.cls.held -= 1
+        self.seats.add(team.seats, -1.0)
         if lease.told:
             self.loads.add(team.load, -lease.load)
             team.told -= 1
         team.standing.pop(lease, None)
-        self.misplaced.pop(lease, None)
-        self._forget(team)
+        if self.misplaced:
+            self.misplaced.pop(lease, None)
+        if team.gone:
+            self._forget(team)
 
     # -- reclaiming --------------------------------------------------------------------------------------
 
@@ -394,10 +413,8 @@
 
     def needs_step(self) -> bool:
         """Has anything to be moved?"""
-        if self.misplaced or self.excess:
-            return True
-        return (self.seats.short() and self.seats.richest() is not None) or (
-            self.by_load and self.loads.short() and self.loads.richest() is not None)
+        return bool(self.misplaced or self.excess) or self.seats.victim() is not None or (
+            self.by_load and self.loads.victim() is not None)
 
     def step(self, now: float) -> list[Lease]:
         """The leases whose clients have to be moved now, as many as the pace allows."""
--- a/snowwick/net/contracts.py
+++ b/snowwick/net/contracts.py
@@ -69,25 +69,24 @@
         tenants = {pool: frozenset(tenant for team in self.contracts.teams.values() if team.pool == pool
                                    for tenant in team.tenants) for pool in self.contracts.pools}
         self.desks.set(self.contracts.pools, tenants, running)
-        self.tenants = {tenant: (name, self.contracts.teams[name].pool)
-                        for tenant, name in self.contracts.tenants.items()}
+        self.tenants = {tenant: self.ledger.teams[name] for tenant, name in self.contracts.tenants.items()}
 
     def _busy(self, reason: str, detail: str = "", wait_ms: float | None = None) -> Turned:
         wait = self.come_again_ms() if wait_ms is None else wait_ms
         return Turned(lines.busy(min(max(1.0, wait), self.longest_ms)), reason, detail)
 
     def enter(self, ask: Ask) -> Turned | None:
-        now, found = self.loop.clock(), self.tenants.get(ask.tenant)
-        if found is None:
+        now, team = self.loop.clock(), self.tenants.get(ask.tenant)
+        if team is None:
             return self._busy("no-contract") if not ask.at else None
-        ask.team, pool = found
+        ask.team, pool = team.name, team.pool
         if ask.at:  # it stood before: counted, never refused
             ask.lease = self.ledger.adopt(now, ask.client, ask.team, ask.class_name)
             ask.decider = self.desks.deciders[pool]
             return None
         if not self.desks.ready(pool):
             return self._busy("no-destinations", f"pool={pool}")
-        got = self.ledger.ask(now, ask.client, ask.team, ask.class_name, ask.opening.key)
+        got = self.ledger.ask_of(now, ask.client, team, ask.class_name, ask.opening.key)
         if isinstance(got, Refusal):
             self.reclaimer.look()
             return self._busy(got.reason, f"limit={got.limit}", 1000.0 * got.wait)
