Let a quarter of a second's burst through at once instead of a whole second's

A trace of the module's looks showed three of four destinations slow for one look after 80 set-ups had passed at once; its throttle, one a pool, turned on and refused both teams for four seconds. Ruled out: the reserve, the reclaimer, the ledger's refusals of the quiet team.

--- a/snowwick/broker/contract.py
+++ b/snowwick/broker/contract.py
@@ -47,7 +47,7 @@
     connections: Annotated[int, msgspec.Meta(gt=0)]
     setups_per_s: Positive
     load: Positive | None = None
-    burst_s: Positive = 1.0  # how many seconds' worth of a rate may pass at once after a pause
+    burst_s: Positive = 0.25  # how many seconds' worth of a rate may pass at once after a pause
     reclaim: Reclaim = Reclaim()
 
 
