--- a/snowwick/rebalance/plan.py
+++ b/snowwick/rebalance/plan.py
@@ -154,7 +154,7 @@
 
     def _emptiest(self, now: float, fills: Mapping[int, _Fill], targets: list[tuple[float, int]],
                   mean: float) -> _Fill | None:
-        """The emptiest that receives now; entries of those that have filled since, or may not, are dropped."""
+        """The emptiest that receives now; entries that no longer hold are dropped."""
         while targets:
             ratio, number = targets[0]
             if ratio == fills[number].ratio < mean and self._receives(now, number):
