--- a/snowwick/broker/contract.py
+++ b/snowwick/broker/contract.py
@@ -96,7 +96,7 @@
         return {tenant: name for name, team in self.teams.items() for tenant in team.tenants}
 
 
-class Part1(msgspec.Struct, frozen=True):
+class TeamPart(msgspec.Struct, frozen=True):
     """What one balancer enforces of a team's contract."""
 
     connections: tuple[int, int]  # guarantee, ceiling
@@ -104,7 +104,7 @@
     load: tuple[float, float]
 
 
-def parts(contracts: Contracts, balancers: int, index: int) -> tuple[int, dict[str, Part1]]:
+def parts(contracts: Contracts, balancers: int, index: int) -> tuple[int, dict[str, TeamPart]]:
     """One balancer's part of the fleet's connections, and of each team's limits.
 
     Connections are dealt out one by one (``fair.striped``), so over all balancers every figure sums exactly.
@@ -116,7 +116,7 @@
         most = fleet.connections if team.ceiling.connections is None else team.ceiling.connections
         rate = fleet.setups_per_s if team.ceiling.setups_per_s is None else team.ceiling.setups_per_s
         load = team.ceiling.load if team.ceiling.load is not None else fleet.load or math.inf
-        of_teams[name] = Part1(
+        of_teams[name] = TeamPart(
             (striped(first, guaranteed, balancers, index), striped(first, most, balancers, index)),
             ((team.guarantee.setups_per_s or 0.0) / balancers, rate / balancers),
             ((team.guarantee.load or 0.0) / balancers, load / balancers))
