--- a/snowwick/rebalance/plan.py
+++ b/snowwick/rebalance/plan.py
@@ -67,19 +67,76 @@
     reason: str
 
 
+@dataclass(slots=True)
+class _Part:
+    """What of a group stands on one destination."""
+
+    load: float = 0.0
+    members: dict[int, Standing] = field(default_factory=dict)
+
+
+class Book:
+    """What stands, summed up as it comes and goes, so that a round need not walk all of it."""
+
+    def __init__(self, standing: Iterable[Standing] = ()) -> None:
+        self.rows: dict[int, Standing] = {}
+        self.groups: dict[int, dict[str, _Part]] = {}  # by destination
+        self.homes: dict[str, set[int]] = {}  # where each group stands
+        self.loads: dict[int, float] = defaultdict(float)  # by destination
+        self.load = 0.0
+        for one in standing:
+            self.put(one)
+
+    def put(self, one: Standing) -> None:
+        """A connection stands, or has another load, place or age than before."""
+        self.remove(one.number)
+        self.rows[one.number] = one
+        part = self.groups.setdefault(one.destination, {}).setdefault(one.group, _Part())
+        part.members[one.number] = one
+        part.load += one.load
+        self.homes.setdefault(one.group, set()).add(one.destination)
+        self.loads[one.destination] += one.load
+        self.load += one.load
+
+    def remove(self, number: int) -> None:
+        """It has ended."""
+        one = self.rows.pop(number, None)
+        if one is None:
+            return
+        groups = self.groups[one.destination]
+        part = groups[one.group]
+        del part.members[number]
+        part.load -= one.load
+        self.loads[one.destination] -= one.load
+        self.load -= one.load
+        if part.members:
+            return
+        # The last of its group there: what is kept must not grow with groups that come and go.
+        del groups[one.group]
+        self.homes[one.group].discard(one.destination)
+        if not self.homes[one.group]:
+            del self.homes[one.group]
+        if not groups:
+            del self.groups[one.destination], self.loads[one.destination]
+
+
 @dataclass(slots=True)
 class _Fill:
-    """One destination in a round: its load with the groups' cost, and the groups on it."""
+    """One destination in a round: its load with the groups' cost, the groups on it, and who came or left."""
 
     place: Place
     capacity: float
-    load: float = 0.0
-    groups: dict[str, list[Standing]] = field(default_factory=lambda: defaultdict(list))
+    load: float
+    groups: Mapping[str, _Part]
+    changed: dict[str, bool] = field(default_factory=dict)  # groups that came in this round (True) or left
 
     @property
     def ratio(self) -> float:
         return self.load / self.capacity
 
+    def holds(self, group: str) -> bool:
+        return self.changed.get(group, group in self.groups)
+
 
 class Planner:
     """One balancer's plans: ``plan`` now and then, and what it returns is to be carried out."""
@@ -88,7 +145,6 @@
         self.terms, self.active = terms, False
         self.pace = Gcra(terms.pace, max(1.0, terms.pace))
         self.reception: dict[int, Gcra] = {}
-        self.homes: dict[str, list[int]] = {}  # of a round: where each group stands
         self.moved: dict[str, float] = {}  # clients at rest, and since when; the oldest first
 
     def capacity(self, place: Place, now: float) -> float:
@@ -97,10 +153,11 @@
         warm = min(1.0, max(0.0, now - place.started) / t.warm_up) if t.warm_up > 0.0 else 1.0
         return place.capacity * (t.cold_from + (1.0 - t.cold_from) * warm)
 
-    def plan(self, now: float, places: Collection[Place], standing: Iterable[Standing]) -> list[Move]:
+    def plan(self, now: float, places: Collection[Place], book: Book) -> list[Move]:
         """The moves of this round, each with its reason and expected gain; none while all is level enough."""
         self._forget(now, {place.number for place in places})
-        fills, unit = self._fills(now, places, standing)
+        unit = self.terms.group_cost * book.load / max(1, len(book.rows))
+        fills = self._fills(now, places, book, unit)
         total, room = sum(one.load for one in fills.values()), sum(one.capacity for one in fills.values())
         if not total or not room:
             return []
@@ -119,7 +176,7 @@
             source = fills[number]
             if -ratio <= self.terms.stop * mean:
                 break
-            found = self._best(now, source, fills, targets, unit, mean)
+            found = self._best(now, source, fills, targets, book, unit, mean)
             if found is None:
                 continue
             group, target, gain = found
@@ -133,24 +190,14 @@
             del self.moved[first[0]]
         self.reception = {number: one for number, one in self.reception.items() if number in numbers}
 
-    def _fills(self, now: float, places: Collection[Place],
-               standing: Iterable[Standing]) -> tuple[Mapping[int, _Fill], float]:
-        """The destinations as they are, and what a group costs one of them."""
-        fills = {place.number: _Fill(place, self.capacity(place, now)) for place in places}
-        loads = count = 0.0
-        for one in standing:
-            loads, count = loads + one.load, count + 1
-            if one.destination in fills:
-                fills[one.destination].groups[one.group].append(one)
-        self.homes = defaultdict(list)
-        for number, fill in fills.items():
-            for name in fill.groups:
-                self.homes[name].append(number)
-        unit = self.terms.group_cost * loads / max(1.0, count)
-        for fill in fills.values():
-            fill.load = unit * len(fill.groups) + sum(
-                one.load for group in fill.groups.values() for one in group)
-        return fills, unit
+    def _fills(self, now: float, places: Collection[Place], book: Book, unit: float) -> dict[int, _Fill]:
+        """The destinations as they are; ``unit`` is what a group costs one of them."""
+        found = {}
+        for place in places:
+            groups = book.groups.get(place.number, {})
+            load = book.loads[place.number] + unit * len(groups) if groups else 0.0
+            found[place.number] = _Fill(place, self.capacity(place, now), load, groups)
+        return found
 
     def _emptiest(self, now: float, fills: Mapping[int, _Fill], targets: list[tuple[float, int]],
                   mean: float) -> _Fill | None:
@@ -163,21 +210,23 @@
         return None
 
     def _best(self, now: float, source: _Fill, fills: Mapping[int, _Fill],
-              targets: list[tuple[float, int]], unit: float, mean: float) -> tuple[str, _Fill, float] | None:
+              targets: list[tuple[float, int]], book: Book, unit: float,
+              mean: float) -> tuple[str, _Fill, float] | None:
         """The group that leaves the source, whole, for the target where that gains most."""
         best: tuple[float, str, _Fill] | None = None
         emptiest = self._emptiest(now, fills, targets, mean)
         if emptiest is None:
             return None
-        for name, members in source.groups.items():
-            if not all(self._may_move(now, one) for one in members):
+        for name, part in source.groups.items():
+            if name in source.changed or not all(self._may_move(now, one) for one in part.members.values()):
                 continue
-            load = sum(one.load for one in members)
+            load = part.load
             # Where a part of it is already costs nothing more; else the emptiest is as good as any.
-            joined = [one for number in self.homes.get(name, ()) if (one := fills[number]) is not source
-                      and name in one.groups and one.ratio < mean and self._receives(now, number)]
+            joined = [one for number in book.homes[name] if (one := fills.get(number)) is not None
+                      and one is not source and one.holds(name) and one.ratio < mean
+                      and self._receives(now, number)]
             for target in (*joined, emptiest):
-                more = load + (0.0 if name in target.groups else unit)
+                more = load + (0.0 if target.holds(name) else unit)
                 filled = (target.load + more) / target.capacity
                 if filled > mean * self.terms.stop:
                     continue  # it would be the next to be emptied, or be pushed over while it is cold
@@ -196,11 +245,11 @@
     def _move(self, now: float, source: _Fill, target: _Fill, group: str, unit: float,
               gain: float) -> list[Move]:
         """A group that has begun to leave leaves whole: half of it would cost both destinations."""
-        members = source.groups.pop(group)
-        load, joins = sum(one.load for one in members), group in target.groups
+        part, joins = source.groups[group], target.holds(group)
+        members, load = list(part.members.values()), part.load
         source.load -= load + unit
         target.load += load + (0.0 if joins else unit)
-        target.groups[group].extend(members)
+        source.changed[group], target.changed[group] = False, True
         reason = "joins its group" if joins else "crowded"
         for one in members:
             self.pace.take(now)
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from snowwick.rebalance.plan import Move, Place, Planner, Standing, Terms, fills
+from snowwick.rebalance.plan import Book, Move, Place, Planner, Standing, Terms, fills
 
 
 def imbalance(places: list[Place], standing: list[Standing]) -> tuple[float, int]:
@@ -42,7 +42,7 @@
         for step in range(int(2 * (until - since))):
             now = since + 0.5 * step
             for n, planner in enumerate(self.planners):
-                moves = planner.plan(now, places or self.places, self.standing[n])
+                moves = planner.plan(now, places or self.places, Book(self.standing[n]))
                 target = {move.number: move.target for move in moves}
                 self.moves += [(now, move) for move in moves]
                 self.standing[n] = [replace(one, destination=target[one.number], since=now)
@@ -102,28 +102,28 @@
         return [Standing(n, f"c{n}", f"g{n}", at, 1.0, since if n == 0 else 0.0) for n in range(40)]
     places = [Place(1, 50.0), Place(2, 50.0)]
     planner = Planner(Terms(pace=5.0, reception=50.0, least_age=0.0, rest=30.0))
-    moved = {move.client for move in planner.plan(100.0, places, rows(1))}
+    moved = {move.client for move in planner.plan(100.0, places, Book(rows(1)))}
     assert len(moved) == 5
-    assert not moved & {move.client for move in planner.plan(110.0, places, rows(2))}
-    later = {move.client for t in range(12) for move in planner.plan(131.0 + t, places, rows(2))}
+    assert not moved & {move.client for move in planner.plan(110.0, places, Book(rows(2)))}
+    later = {move.client for t in range(12) for move in planner.plan(131.0 + t, places, Book(rows(2)))}
     assert moved <= later
     pair = [Standing(1, "a", "g", 1, 1.0, 0.0), Standing(2, "b", "g", 1, 1.0, 99.0),
             Standing(3, "c", "h", 1, 1.0, 0.0), Standing(4, "d", "i", 1, 1.0, 0.0)]
-    assert {move.client for move in Planner(Terms(pace=9.0)).plan(100.0, places, pair)} <= {"c", "d"}
+    assert {move.client for move in Planner(Terms(pace=9.0)).plan(100.0, places, Book(pair))} <= {"c", "d"}
 
 
 def test_a_destination_receives_no_faster_than_it_can_set_up() -> None:
     places = [Place(1, 50.0), Place(2, 50.0)]
     rows = [Standing(n, f"c{n}", f"g{n}", 1, 1.0, 0.0) for n in range(60)]
     planner = Planner(Terms(pace=50.0, reception=3.0))
-    assert [len(planner.plan(now, places, rows)) for now in (100.0, 100.0, 101.0)] == [3, 0, 3]
+    assert [len(planner.plan(now, places, Book(rows))) for now in (100.0, 100.0, 101.0)] == [3, 0, 3]
 
 
 def test_two_halves_of_a_group_are_joined() -> None:
     places = [Place(n, 20.0) for n in range(3)]
     rows = [Standing(n, f"c{n}", "g", n % 2, 1.0, 0.0) for n in range(4)]
     rows += [Standing(10 + n, f"d{n}", f"h{n}", 0, 1.0, 0.0) for n in range(4)]
-    moves = Planner(Terms(pace=2.0)).plan(100.0, places, rows)
+    moves = Planner(Terms(pace=2.0)).plan(100.0, places, Book(rows))
     assert {(move.client, move.target, move.reason) for move in moves} >= {
         ("c0", 1, "joins its group"), ("c2", 1, "joins its group")}
 
@@ -134,15 +134,34 @@
     def at(first: int) -> list[Standing]:
         return [Standing(n, f"c{n}", f"g{n}", 1 if n < first else 2, 1.0, 0.0) for n in range(200)]
     planner = Planner(Terms(pace=1.0, reception=100.0))
-    assert not planner.plan(100.0, places, at(110))  # 1.10 of the mean
-    assert planner.plan(101.0, places, at(120))
-    assert planner.plan(103.0, places, at(110))
-    assert not planner.plan(105.0, places, at(104))
-    assert not planner.plan(107.0, places, at(110))
+    assert not planner.plan(100.0, places, Book(at(110)))  # 1.10 of the mean
+    assert planner.plan(101.0, places, Book(at(120)))
+    assert planner.plan(103.0, places, Book(at(110)))
+    assert not planner.plan(105.0, places, Book(at(104)))
+    assert not planner.plan(107.0, places, Book(at(110)))
 
 
 def test_nothing_to_move_and_nowhere_to_move_it() -> None:
     planner = Planner(Terms())
-    assert planner.plan(0.0, [], []) == [] and planner.plan(0.0, [Place(1, 10.0)], []) == []
+    assert planner.plan(0.0, [], Book()) == [] and planner.plan(0.0, [Place(1, 10.0)], Book()) == []
     rows = [Standing(n, f"c{n}", "g", 1, 1.0, -100.0) for n in range(9)]
-    assert planner.plan(0.0, [Place(1, 10.0)], rows) == []
+    assert planner.plan(0.0, [Place(1, 10.0)], Book(rows)) == []
+
+
+def test_the_book_sums_up_what_stands_and_forgets_what_has_gone() -> None:
+    rng, book, rows = random.Random(4), Book(), dict[int, Standing]()
+    for step in range(3000):
+        number = rng.randrange(60)
+        if rng.random() < 0.4:
+            book.remove(number)
+            rows.pop(number, None)
+        else:
+            rows[number] = Standing(number, f"c{number}", f"g{number % 7}", rng.randrange(4), rng.random(),
+                                    step)
+            book.put(rows[number])
+    fresh = Book(rows.values())
+    assert book.rows == rows and book.homes == fresh.homes and book.groups.keys() == fresh.groups.keys()
+    assert all(abs(book.loads[n] - fresh.loads[n]) < 1e-9 for n in fresh.loads)
+    for number in list(rows):
+        book.remove(number)
+    assert not book.groups and not book.homes and not book.loads and abs(book.load) < 1e-9
