Test that SIGHUP rereads the contracts of the running program, whole or not at all

Need: reloads with contracts were tested by calling the reload, and through the signal only during a drain.

Change: one test on the process: a file without a team is taken, a faulty one after it is refused with its key path, and the removed team's request gets BUSY by the file that was taken.

--- a/tests/test_contracts_net.py
+++ b/tests/test_contracts_net.py
@@ -238,3 +238,26 @@
         _, said = process.communicate(timeout=20.0)
     assert process.returncode == 2 and said.count("\n") == 1
     assert "teams.y.tenants: the settings have no tenant 'unheard-of'" in said
+
+
+def test_hangup_signal_rereads_the_contracts_of_the_running_program(tmp_path: Path) -> None:
+    path, file = tmp_path / "config.json", tmp_path / "contracts.toml"
+    path.write_text(json.dumps({**GOOD, "settings": TEAMS}))
+    file.write_text(CONTRACTS)
+    with program(path, SNOWWICK_CONTRACTS=str(file)) as process:
+        host, port = address_in(process.stderr).split(":")
+        assert process.stderr is not None
+        log = process.stderr
+
+        def hang_up(text: str) -> str:
+            file.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            return next(line for line in iter(log.readline, "") if "contracts of" in line or "stays" in line)
+        assert "contracts of 1 teams" in hang_up(CONTRACTS[:CONTRACTS.index("[teams.y]")])
+        assert "fleet.connections: is missing" in hang_up(CONTRACTS.replace("connections = 10", ""))
+        with socket.create_connection((host, int(port)), 5.0) as client:
+            client.sendall(b"OPEN 1 k1 d=1200,c=feed,t=m\r\n")
+            assert client.recv(4096).startswith(b"BUSY ")  # the first file counts still: y has no contract
+        process.terminate()
+        assert "no-contract" in log.read()
+        assert process.wait(10.0) == 0
