Wait for a time in one place; let the ledger call its own clock and ceiling checks

Need: a read of the whole change found the same loop in the acceptor and twice in the benchmark's stand-ins, the ledger's guard against a clock that steps back written out beside the method that is it, a share's level and ceiling worked out by hand beside their properties, and a fault of the start without contracts that would have named no file.

Change: Actor.sleep; the ledger and the budget call what they have; such a fault is raised as it is.

--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -72,10 +72,6 @@
         del self.inbox[:end]
         return line
 
-    def sleep(self, until: float) -> Steps:
-        while self.loop.clock() < until:
-            yield Wait(until=until)
-
 
 class Door(Actor):
     """Accepts connections and starts an actor for each."""
@@ -222,9 +218,7 @@
             self.crowd.tally.wanted += self.loop.clock() - asked if honoured else 0.0
 
     def _sleep(self, wait: float) -> Steps:
-        until = self.loop.clock() + wait
-        while self.loop.clock() < until:
-            yield Wait(until=until)
+        yield from self.sleep(self.loop.clock() + wait)
 
     def _connection(self, peer: _Line, asked: float, honoured: bool) -> Generator[Wait, int, float | None]:
         """Ask, and use the connection; returns the stated come-back time in s where there is one."""
--- a/snowwick/__main__.py
+++ b/snowwick/__main__.py
@@ -42,6 +42,8 @@
     try:
         service = Service(settings, Loop(Log(style=style)), contracts=read)
     except ValueError as error:
+        if contracts is None:
+            raise
         raise _faulty(contracts, error) from error
     try:
         service.serve()
@@ -110,7 +112,7 @@
         raise _faulty(path, error) from error
 
 
-def _faulty(path: Path | None, error: ValueError) -> SystemExit:
+def _faulty(path: Path, error: ValueError) -> SystemExit:
     """A line for each fault, and the code for bad configuration."""
     for fault in getattr(error, "faults", [str(error)]):
         print(f"snowwick: {path}: {fault}", file=sys.stderr)
--- a/snowwick/broker/budget.py
+++ b/snowwick/broker/budget.py
@@ -96,7 +96,7 @@
         self._rank(share)
 
     def _rank(self, share: Share) -> None:
-        level = (share.held - share.leaving - share.guarantee) / share.weight
+        level = share.level
         if level > share.ranked + SLACK:
             share.ranked = level
             heapq.heappush(self._heap, (-level, next(self._count), share))
--- a/snowwick/broker/ledger.py
+++ b/snowwick/broker/ledger.py
@@ -193,7 +193,8 @@
 
     def _at(self, now: float) -> float:
         """A clock that steps back stands still."""
-        self.now = max(self.now, now)
+        if now > self.now:
+            self.now = now
         return self.now
 
     # -- asks --------------------------------------------------------------------------------------------
@@ -208,10 +209,7 @@
     def ask_of(self, now: float, owner: object, team: TeamState, class_name: str,
                key: str) -> Lease | Refusal:
         """The same for who has looked the team up."""
-        if now >= self.now:
-            self.now = now
-        else:
-            now = self.now  # a clock that steps back stands still
+        now = self._at(now)
         if team.gone:
             return Refusal("no-contract", "team", self._spread(self.longest))
         cls = team.classes.get(class_name) or self._class(team, class_name)
@@ -368,7 +366,7 @@
         if lease.held:
             team = lease.team
             team.standing[lease] = None
-            if team.gone or team.seats.held > team.seats.ceiling:
+            if team.gone or team.seats.over_ceiling():
                 self.excess[team] = None
             if lease.pool != team.pool:
                 self.misplaced[lease] = None
--- a/snowwick/net/loop.py
+++ b/snowwick/net/loop.py
@@ -62,6 +62,11 @@
             self.mail.append(message)
             self.loop.wake(self, MAIL)
 
+    def sleep(self, until: float) -> Steps:
+        """Wait for a time, whatever mail comes meanwhile."""
+        while self.loop.clock() < until:
+            yield Wait(until=until)
+
     def take(self) -> Generator[Any, None, None]:
         """The messages in the mailbox, oldest first."""
         while self.mail:
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -69,9 +69,7 @@
 
     def _pause(self, wait: float) -> Steps:
         """Guards against spinning: where accept fails or must wait, the listening socket stays readable."""
-        until = self.loop.clock() + wait
-        while self.loop.clock() < until:
-            yield Wait(until=until)
+        yield from self.sleep(self.loop.clock() + wait)
 
 
 class Signals(Actor):
