Keep the module from dividing by the rest of a float sum and from losing its monitor

A balancer that faulted in its monitor never looked again: no bound, no moves off leaving servers, no end of the throttle.

Checked: the loads of a balancer's connections are summed up and taken off again. At forty balancers the last told connection often goes; 63 of 200 random sequences of such sums end above zero with nothing left. `_fill` then divides the rest by a count of 0. Ruled out: unit, weight and pace, which are never 0.

At fault: `Balancer._account` (the sum outlives its count); `Decider._handle`, which threw away what had been decided before a fault, among it the monitor's next timer, and left the client to its time limit.

Change: the sum is nought where the count is; after a fault what was decided holds, and a request is answered at once. Both tests were seen failing without it.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -251,7 +251,8 @@
         for one in (b, self.total):
             one.open += sign
             if flow.load >= 0:
-                one.told, one.load = one.told + sign, one.load + sign * flow.load
+                one.told += sign
+                one.load = one.load + sign * flow.load if one.told else 0.0  # floats leave a rest
         b.groups[flow.group.hash] = b.groups.get(flow.group.hash, 0) + sign
         if not b.groups[flow.group.hash]:
             del b.groups[flow.group.hash]
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -208,12 +208,16 @@
         try:
             actions = self.balancer.handle(self.now_ms(), event)
         except Exception as error:
-            # The module must not take all standing connections with it; unanswered requests run into
-            # the client side's own time limit.
+            # The module must not take all standing connections with it.
             self.loop.log.event("fault", "fault: {where}: {error}",
                                 where=f"decision on {type(event).__name__}",
                                 error=f"{type(error).__name__}: {error}")
-            return
+            # What was decided before it holds: without its timer the monitor would never look again.
+            actions = list(self.balancer.out)
+            if isinstance(event, i.Request) and not any(
+                    getattr(action, "request", None) == event.request for action in actions):
+                self._handle(i.Gone(event.request))
+                actions.append(i.Fail(event.request))  # given up, so answered at once
         for action in actions:
             self._carry_out(action)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -219,6 +219,20 @@
     assert "fault: Decider" in world.sink.getvalue()
 
 
+def test_fault_of_the_module_answers_its_client_at_once_and_keeps_its_timers(
+        world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    balancer = world.service.decider.balancer
+    with monkeypatch.context() as patched:
+        patched.setattr(balancer, "_choose", lambda flow: 1 / 0)
+        patched.setattr(balancer, "_level_out", lambda: 1 / 0)
+        world.play("c1 send OPEN 1 k1 d=1200,c=feed,t=n\nc1 expect ERR\nc1 end")
+        world.wait(2000)
+    looks = iter(range(9))
+    monkeypatch.setattr(balancer, "_level_out", lambda: next(looks) and None)
+    world.wait(2000)
+    assert next(looks) == 1 and not balancer.flows, "the monitor looks on, and nothing is left of the request"
+
+
 def test_slow_reader_stops_the_other_side(world: World) -> None:
     """Without a bound, one client that does not read would fill the memory with its destination's lines."""
     world.play(UP)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -299,6 +299,20 @@
     assert home == 1 and {send.backend for send in opened} == {1}
 
 
+def test_loads_that_came_and_went_leave_no_rest() -> None:
+    bench = Bench(balancers=40, tenants=(i.Tenant("t", 400.0),))
+    loads = (0.1, 0.2, 0.3)
+    stood = [sends(bench.ask(n, f"k{n}"))[0] for n in range(3)]
+    for send, load in zip(stood, loads, strict=True):
+        bench.stand(send)
+        bench.put(i.LoadNote(send.request, send.backend, load))
+    for send in reversed(stood):
+        bench.end(send, i.Outcome.OK, closed=True)
+    assert (0.1 + 0.2 + 0.3) - 0.3 - 0.2 - 0.1 > 0.0, "the rest that this guards against"
+    place(bench, 9, "k1")
+    bench.run(bench.now + 2000.0)  # the monitor looks at the loads too
+
+
 def test_backend_with_slow_setups_is_given_less() -> None:
     """Backends of one size differed in speed all day: the slow ones were filled like the fast ones."""
     bench, taken = Bench(backends=6, tenants=(i.Tenant("t", 60.0),)), {1: 18.0}
