Judge load by what a balancer can see; give new servers their part of clients over time

At fault: `_fill` (no doubt in its guess), `_cold_room` (shares under one connection given in turns to balancers that had nobody to send), nothing that moved a client to a server that started after it was placed.

Change: a server is over the bound only by 1.5 standard errors of what the fleet can hold given what is seen (none at one balancer); a cold server takes the part of its clients that it can by now, picked by the hash, within a bound on this balancer's own count; clients whom the hash gives to a server that started since are moved there as it warms up; groups are spread further the less of the fleet a balancer sees.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -30,14 +30,13 @@
 MEMORY = 30000.0  # ms over which arrivals are remembered: about a connection's life
 SHARE = 0.6  # backends a group gets, of those its share of the traffic would fill evenly
 SLOW, SLOW_FOR = 0.34, 1500.0  # of the shortest aim: late in part from here; ms that trouble counts
-YIELD, YIELD_KEEP = 0.25, 10000.0  # part of the groups asked off a slow backend a note; ms until half return
-PARTS = 4  # a group leaves a slow backend in so many parts
 MOVE, SETTLED = 0.25, 2000.0  # chance that one which should leave is moved, a note; ms it stays at least
 SAFE, EVEN = 0.55, 1.08  # load over capacity, and over the fleet's mean, up to which a backend is filled
 QUOTAS = 0.81  # the tenants' quotas together, as part of what the fleet can hold
 GROUP = 3.0  # what a group costs a backend that holds any of it, in mean connections
 PACE, PACED = 0.1, 8  # part that a new setup time counts for; setups at a backend before its pace counts
 CROWDED, SHED = 1.1, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
+SURE = 1.5  # standard errors by which a backend must be over the bound: few connections tell little
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
 LEAVE = 2000.0  # ms over which the clients of a backend that leaves are moved
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
@@ -50,15 +49,15 @@
 class Backend:
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
-    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "level",
-                 "level_at", "load", "open", "pace", "ready", "rejected", "rejected_at", "setup", "setups",
-                 "skipped", "slow", "slow_at", "told", "weight")
+    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "load", "open",
+                 "pace", "ready", "rejected", "rejected_at", "setup", "setups", "skipped", "slow", "slow_at",
+                 "told", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
         self.hash = _hash(str(entry.backend))
-        self.down_until = self.skipped = self.slow_at = self.level_at = self.rejected_at = -math.inf
-        self.fails, self.level, self.rejected, self.slow = 0, 0.0, 0.0, 0.0
+        self.down_until = self.skipped = self.slow_at = self.rejected_at = -math.inf
+        self.fails, self.rejected, self.slow = 0, 0.0, 0.0
         self.leaving = math.inf  # when the list said that it drains or is gone
         self.flows: dict[int, Flow] = {}
         self.open, self.told, self.load = 0, 0, 0.0  # open connections, those whose load is told, its sum
@@ -80,12 +79,13 @@
     """A request from its arrival to its end, and the connection it becomes."""
 
     __slots__ = ("attempts", "backend", "cls", "deadline", "group", "id", "load", "open", "pending",
-                 "pick", "since", "tenant", "tried", "unsure")
+                 "pick", "since", "stood", "tenant", "tried", "unsure")
 
     def __init__(self, e: i.Request | i.Carried, cls: i.RequestClass, group: Group, deadline: float) -> None:
         self.id, self.cls, self.tenant, self.group, self.deadline = e.request, cls, e.tenant, group, deadline
         self.pick = crc32((e.client_key or str(e.request)).encode())
         self.attempts, self.pending, self.open, self.backend, self.since = 0, False, False, -1, 0.0
+        self.stood = 0.0  # since when
         self.load = -1.0  # not told yet
         self.tried: set[int] = set()
         self.unsure: list[tuple[Backend, float]] = []  # attempts that may have run: backend, time sent
@@ -176,7 +176,7 @@
             if b.ready and entry.state is not i.State.READY:
                 self._unrank(b)
             if entry.started != b.entry.started:
-                b.down_until, b.level, b.fails = -math.inf, 0.0, 0
+                b.down_until, b.fails = -math.inf, 0
             b.entry = entry
             b.leaving = math.inf if entry.state is i.State.READY else min(b.leaving, self.now)
             if entry.state is i.State.READY:
@@ -231,20 +231,11 @@
         return self.groups.get(key_hash) or self.groups.setdefault(key_hash, Group(key_hash))
 
     def _spread(self, group: Group) -> int:
-        """Backends for this group: a hot group would drown the one it hashes to."""
+        """Backends for this group, too much for one; more where most of the fleet is out of sight."""
         count = group.count * math.exp((group.at - self.now) / MEMORY) - 1.0
-        return max(1, min(HEAD // 2, math.ceil(SHARE * len(self.rows) * count / max(1.0, self.count))))
-
-    def _level(self, b: Backend) -> float:
-        return b.level * 0.5 ** ((self.now - b.level_at) / YIELD_KEEP) if b.level else 0.0
-
-    def _raise_level(self, b: Backend, step: float) -> None:
-        b.level, b.level_at = min(1.0, self._level(b) + step), self.now
-
-    def _yields(self, flow: Flow, b: Backend) -> bool:
-        """Does it make room?  The hash decides, so that all balancers move the same part of a group."""
-        part = flow.group.hash ^ b.hash ^ flow.pick % PARTS << 32
-        return b.level > 0.0 and (part * GOLDEN & M64) / M64 < self._level(b)
+        unseen = (1 - 1 / self.settings.balancers) * len(self.rows) / (sum(self.quotas.values()) or math.inf)
+        part = SHARE * (1.0 + unseen) * count / max(1.0, self.count)
+        return max(1, min(HEAD // 2, math.ceil(part * len(self.rows))))
 
     def _account(self, flow: Flow, b: Backend, sign: int) -> None:
         """Count an open connection in at its backend, or out."""
@@ -257,26 +248,32 @@
         if not b.groups[flow.group.hash]:
             del b.groups[flow.group.hash]
 
-    def _fill(self, b: Backend, joining: Group | None = None) -> float:
+    def _fill(self, b: Backend, joining: Group | None = None, sure: float = 0.0) -> float:
         """Load over capacity, guessed: connections and their loads are known of this balancer only.
 
-        Loads count in mean connections, so their unit does not matter, nor whether any are told.
+        Loads count in mean connections, so their unit does not matter, nor whether any are told.  Of what
+        the fleet holds there a balancer sees a part by chance: ``sure`` standard errors are taken off.
         """
         mean = self.total.load / self.total.told if self.total.load > 0.0 else 1.0
         held = b.load / mean + b.open - b.told if self.total.load > 0.0 else float(b.open)
         groups = len(b.groups) + (joining is not None and joining.hash not in b.groups)
-        everywhere = self.settings.balancers * held + (joining is not None) + GROUP * groups
+        n = self.settings.balancers
+        everywhere = n * held + (joining is not None) + GROUP * groups - sure * math.sqrt(n * (n - 1) * held)
         return everywhere / (self.unit * b.weight * b.pace)
 
-    def _cold_room(self, b: Backend) -> bool:
-        """This balancer's share of what a cold backend may be sent: all together could push it over."""
+    def _cold_room(self, flow: Flow, b: Backend) -> bool:
+        """A cold backend takes the part of its clients that it can by now: all together could push it over.
+
+        The hash says whom.  Turns would leave it empty: whose turn it is has often nobody to send.
+        """
         s, age = self.settings, self.now - b.entry.started
         if b.entry.started <= 0 or age >= s.cold_time:
             return True
         full = max(self.opened, 1) / max(1, len(self.rows))  # this balancer's part of a usual backend's load
         part = s.cold_from + (1 - s.cold_from) * max(0.0, age) / s.cold_time
-        turn = (s.index + b.hash) % s.balancers / s.balancers  # shares under one come up one after another
-        return len(b.flows) + self._rejected(b) + 1 <= COLD_SAFETY * s.fall_multiple * part * full + turn
+        room = COLD_SAFETY * s.fall_multiple * part * full
+        return len(b.flows) + self._rejected(b) <= room + math.sqrt(room) \
+            and ((flow.pick ^ b.hash) * GOLDEN & M64) / M64 < part
 
     def _rejected(self, b: Backend) -> float:
         return b.rejected * math.exp((b.rejected_at - self.now) / max(1.0, self.settings.overload_for))
@@ -289,9 +286,9 @@
         for _, backend_id in group.head:
             b = self.backends[backend_id]
             if not b.ready or b.down_until > self.now or b.id in flow.tried \
-                    or not self._may_repeat(flow, b) or not self._cold_room(b):
+                    or not self._may_repeat(flow, b) or not self._cold_room(flow, b):
                 continue
-            if self._yields(flow, b) or self._fill(b, group) > self.bound:
+            if self._fill(b, group, SURE) > self.bound:
                 crowded.append((self._fill(b, group), len(crowded), b))
             elif len(usable) < spread:
                 usable.append(b)
@@ -386,7 +383,7 @@
         self._opened(flow)
 
     def _opened(self, flow: Flow) -> None:
-        flow.pending, flow.open, flow.since = False, True, self.now
+        flow.pending, flow.open, flow.since, flow.stood = False, True, self.now, self.now
         flow.tried.clear()
         self.opened += 1
         self.held[flow.tenant] = self.held.get(flow.tenant, 0) + 1
@@ -407,7 +404,6 @@
             return
         b, hurt = self.backends[flow.backend], min(2.0, e.delay / self.aim)
         b.slow_at, b.slow = self.now, min(1.0, hurt)
-        self._raise_level(b, YIELD * hurt)
         # Each with a chance of its own: were it one a note, a backend would be emptied at once where
         # every balancer holds one connection.  In overload moves shed load, so the dear go less.
         self._thin_out(b, self.move * hurt)
@@ -436,6 +432,15 @@
                 part = (self.now - b.leaving + PERIOD) / LEAVE
                 self.out += [i.Move(f.id) for f in b.flows.values() if f.open and self.random.random() < part]
 
+    def _fetch(self) -> None:
+        """Backends that have started since get the clients that the hash gives them."""
+        young = [b for b in self.rows if self.now - b.entry.started < self.settings.cold_time + SETTLED]
+        for flow in self.flows.values() if young else ():
+            if flow.open and self.now - flow.since > SETTLED and self.random.random() < MOVE \
+                    and (b := self._choose(flow)) and b.id != flow.backend and b.entry.started > flow.stood:
+                flow.since = self.now
+                self.out.append(i.Move(flow.id))
+
     def _level_out(self) -> None:
         """Bound the fill of each backend: hashing alone lets a few large groups meet on one of them.
 
@@ -452,8 +457,8 @@
         weights = sum(b.weight for _, b in fills)
         mean = sum(fill * b.weight for fill, b in fills) / weights if weights else 0.0
         self.bound = max(SAFE, EVEN * mean)
-        for fill, b in fills:
-            if fill > CROWDED * self.bound:
+        for _, b in fills:
+            if (fill := self._fill(b, sure=SURE)) > CROWDED * self.bound:
                 self._thin_out(b, SHED * min(1.0, fill / self.bound - 1.0))
 
     def _on_ended(self, e: i.Ended) -> None:
@@ -488,10 +493,8 @@
         self.failed += not was_open and outcome is not i.Outcome.ERROR
         b.rejected, b.rejected_at = self._rejected(b) + 1, self.now
         if outcome is i.Outcome.FULL:
-            self._raise_level(b, YIELD)
             b.down_until = self.now + 200.0 * self._jitter()
         elif outcome is not i.Outcome.ERROR:  # it costs a moment, and may be the fault of the request
-            self._raise_level(b, YIELD * was_open)  # backends drop connections when too much is piled up
             self._skip(b)
 
     def _skip(self, b: Backend) -> None:
@@ -545,6 +548,7 @@
         self._timer(PERIOD, 1)
         self._level_out()
         self._empty()
+        self._fetch()
         bad = [b for b in self.active.values() if self.now - b.slow_at < SLOW_FOR]
         used = [b for b in self.active.values() if b.ready and b.down_until <= self.now]
         part = sum(b.slow for b in bad if b in used) / max(1, len(used))
