Pour groups over their rankings by their part of the quotas, not each alone by the hash

Seen, a probe that logged what stood where, over all balancers: 132 connections in 7 groups on 9 servers, 204 in about 13; the hash of a group alone lets large ones meet.

The order by size was worse (balancers disagree about it), a spread fixed in pieces too.

At fault: `_spread`, which sees one group at a time, and `_choose`, which takes the first of its ranking whoever else does.

Change: `_plan` gives each group seen its part of all that the quotas allow and pours it over its ranking, no server above the common bound; a client's key picks its part. Without quotas nothing is known and the hash alone places.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -18,7 +18,7 @@
 
 M64 = (1 << 64) - 1
 GOLDEN = 0x9E3779B97F4A7C15  # odd 64-bit multiplier: a second hash, independent of the ranking
-KEPT, HEAD = 1000, 32  # groups remembered; ranks kept of each: a group's spread and what failures may skip
+KEPT, HEAD = 300, 32  # groups remembered; ranks kept of each: a group's spread and what failures may skip
 TOTAL = 10.0  # C_J + C_T: Berger IV.A finds 10 enough for a robust throughput
 FEW = 1.0  # tokens at turn-on, so that a true overload is throttled at once
 HOLD, SHRINK = 2000.0, 8000.0  # ms of overload before the buffer shrinks, and until it is gone
@@ -28,7 +28,6 @@
 FLOOR = 0.1  # of the usual arrivals let out at least: some setups must show when it is over
 UP, DOWN, CALM = 1.1, 0.85, 6  # change of r a look, down faster than up; healthy looks to turn off
 MEMORY = 30000.0  # ms over which arrivals are remembered: about a connection's life
-SHARE = 0.6  # backends a group gets, of those its share of the traffic would fill evenly
 SLOW, SLOW_FOR = 0.34, 1500.0  # of the shortest aim: late in part from here; ms that trouble counts
 MOVE, SETTLED = 0.25, 2000.0  # chance that one which should leave is moved, a note; ms it stays at least
 SAFE, EVEN = 0.55, 1.08  # load over capacity, and over the fleet's mean, up to which a backend is filled
@@ -50,14 +49,14 @@
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
     __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "load", "open",
-                 "pace", "ready", "rejected", "rejected_at", "setup", "setups", "skipped", "slow", "slow_at",
+                 "pace", "ready", "setup", "setups", "skipped", "slow", "slow_at",
                  "told", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
         self.hash = _hash(str(entry.backend))
-        self.down_until = self.skipped = self.slow_at = self.rejected_at = -math.inf
-        self.fails, self.rejected, self.slow = 0, 0.0, 0.0
+        self.down_until = self.skipped = self.slow_at = -math.inf
+        self.fails, self.slow = 0, 0.0
         self.leaving = math.inf  # when the list said that it drains or is gone
         self.flows: dict[int, Flow] = {}
         self.open, self.told, self.load = 0, 0, 0.0  # open connections, those whose load is told, its sum
@@ -68,11 +67,12 @@
 class Group:
     """One hash key: the head of its ranking, and how much of this balancer's traffic it draws."""
 
-    __slots__ = ("at", "count", "hash", "head")
+    __slots__ = ("at", "count", "hash", "head", "parts")
 
     def __init__(self, key_hash: int) -> None:
         self.hash, self.count, self.at = key_hash, 0.0, 0.0
         self.head: list[tuple[float, int]] = []
+        self.parts: list[tuple[float, int]] = []  # how far of its clients each backend gets, by the plan
 
 
 class Flow:
@@ -85,8 +85,7 @@
         self.id, self.cls, self.tenant, self.group, self.deadline = e.request, cls, e.tenant, group, deadline
         self.pick = crc32((e.client_key or str(e.request)).encode())
         self.attempts, self.pending, self.open, self.backend, self.since = 0, False, False, -1, 0.0
-        self.stood = 0.0  # since when
-        self.load = -1.0  # not told yet
+        self.stood, self.load = 0.0, -1.0  # since when it is open; its load is not told yet
         self.tried: set[int] = set()
         self.unsure: list[tuple[Backend, float]] = []  # attempts that may have run: backend, time sent
 
@@ -124,15 +123,15 @@
         self.move = MOVE / (1 + 12 * settings.move_price)  # a dear move must gain more
         self.backends: dict[int, Backend] = {}
         self.rows: list[Backend] = []  # those that may be sent to
-        self.table: list[tuple[int, int, Backend]] = []  # the same, prepared for ranking
         self.total = Backend(i.BackendEntry(-1, i.State.READY))  # open connections and loads of all together
         self.unit, self.bound = math.inf, math.inf  # connections a weight of 1 can hold; how far to fill
         self.active: dict[int, Backend] = {}  # in use since the monitor's last look
         self.groups: dict[int, Group] = {}
         self.flows: dict[int, Flow] = {}
         self.held: dict[str, int] = {}  # open connections a tenant
-        self.count, self.count_at, self.opened, self.seq, self.usual_worth = 0.0, 0.0, 0, 0, 1.0
+        self.count, self.count_at, self.opened, self.seq = 0.0, 0.0, 0, 0
         self.good, self.stood, self.failed, self.calm, self.backoff = 0.0, 0.0, 0.0, 0, PERIOD
+        self.planned = False
         self.pump_at, self.looking, self.now, self.out = math.inf, False, 0.0, list[i.Action]()
         self.timers: dict[int, Any] = {
             0: self._pump, 1: self._look, 2: lambda: self.out.append(i.Subscribe())}
@@ -183,44 +182,34 @@
                 self._rank_in(b, 1.0 if self.settings.live_weights or entry.weight <= 0 else entry.weight)
         if len(self.backends) > 2 * len(self.rows) + HEAD:  # ids come and go with the machines
             self.backends = {b.id: b for b in self.backends.values() if b.ready or b.flows}
-            for group in [*self.groups.values(), *(flow.group for flow in self.flows.values())]:
-                group.head = []
+            self._forget_ranks()
         if self.unit == math.inf and self.rows and self.quotas:
             fleet = sum(self.quotas.values()) * self.settings.balancers / QUOTAS
             self.unit = fleet / sum(b.weight for b in self.rows)
         self._pump()
 
     def _unrank(self, b: Backend) -> None:
-        b.ready, self.table = False, []  # its places in the heads are passed over until it returns
+        b.ready = False
         self.rows.remove(b)
+        self._forget_ranks()
 
     def _rank_in(self, b: Backend, weight: float) -> None:
-        if b.weight != weight:
-            b.weight, self.table = weight, []
-            for group in self.groups.values():
-                group.head = []
-        if b.ready:
-            return
-        b.ready, self.table = True, []
-        insort(self.rows, b, key=lambda row: row.id)
-        for group in self.groups.values():
-            if group.head and self.now - group.at > MEMORY:
-                group.head = []  # not worth keeping up to date
-            elif group.head and (row := self._score(group, b)) < group.head[-1] and row not in group.head:
-                insort(group.head, row)
-                if len(group.head) > HEAD and self.backends[group.head[-1][1]].ready:
-                    group.head.pop()
+        if not b.ready:
+            insort(self.rows, b, key=lambda row: row.id)
+        if b.weight != weight or not b.ready:
+            b.weight, b.ready = weight, True
+            self._forget_ranks()
+
+    def _forget_ranks(self) -> None:
+        self.planned = False
+        for group in [*self.groups.values(), *(flow.group for flow in self.flows.values())]:
+            group.head, group.parts = [], []
 
     def _score(self, group: Group, b: Backend) -> tuple[float, int]:
         return (-math.log(((group.hash * b.hash & M64) + 1) / M64) / b.weight, b.id)
 
     def _rank(self, group: Group) -> None:
-        """Take the head of the ranking; only what can be in it costs a logarithm, as fleets are large."""
-        if not self.table:
-            cut = 3 * HEAD / sum(b.weight for b in self.rows) if self.rows else 0.0
-            self.table = [(b.hash, int(M64 * math.exp(-cut * b.weight)), b) for b in self.rows]
-        near = [b for x, floor, b in self.table if group.hash * x & M64 >= floor]
-        group.head = sorted([self._score(group, b) for b in (near if len(near) > HEAD else self.rows)])[:HEAD]
+        group.head = sorted([self._score(group, b) for b in self.rows])[:HEAD]
 
     def _group(self, key: str) -> Group:
         if not key:
@@ -228,14 +217,37 @@
         if len(self.groups) >= KEPT:  # keys come and go: the cache must not grow without end
             self.groups = dict(sorted(self.groups.items(), key=lambda row: -row[1].at)[:KEPT // 2])
         key_hash = _hash(key)
+        self.planned = self.planned and key_hash in self.groups
         return self.groups.get(key_hash) or self.groups.setdefault(key_hash, Group(key_hash))
 
-    def _spread(self, group: Group) -> int:
-        """Backends for this group, too much for one; more where most of the fleet is out of sight."""
-        count = group.count * math.exp((group.at - self.now) / MEMORY) - 1.0
-        unseen = (1 - 1 / self.settings.balancers) * len(self.rows) / (sum(self.quotas.values()) or math.inf)
-        part = SHARE * (1.0 + unseen) * count / max(1.0, self.count)
-        return max(1, min(HEAD // 2, math.ceil(part * len(self.rows))))
+    def _plan(self) -> None:
+        """Pour each group, its part of all that the quotas allow, into the backends in its ranking's order.
+
+        The groups come in the hash's order, so that balancers agree as far as they have seen the same.
+        """
+        seen = [(g, g.count * math.exp((g.at - self.now) / MEMORY))
+                for g in sorted(self.groups.values(), key=lambda group: group.hash)]
+        room = {b.id: self.unit * b.weight * b.pace for b in self.rows}
+        total, fleet = sum(count for _, count in seen), sum(self.quotas.values()) * self.settings.balancers
+        bound = max(SAFE, EVEN * (fleet + GROUP * len(seen)) / max(1.0, sum(room.values())))
+        room = {b: bound * most - GROUP for b, most in room.items()}
+        for group, count in seen if room and self.quotas else ():  # else nothing is known of capacity
+            if not group.head:
+                self._rank(group)
+            group.parts, share = [], fleet * count / total
+            left = share
+            for b in (row[1] for row in group.head):
+                if room[b] >= min(left, GROUP):
+                    part = min(left, room[b])
+                    room[b], left = room[b] - part - GROUP, left - part
+                    group.parts.append((1.0 - left / share, b))
+                    if left <= 0.0:
+                        break
+            else:
+                b = max(room, key=lambda b: room[b])
+                room[b] -= left + GROUP
+                group.parts.append((1.0, b))
+        self.planned = True
 
     def _account(self, flow: Flow, b: Backend, sign: int) -> None:
         """Count an open connection in at its backend, or out."""
@@ -269,32 +281,26 @@
         s, age = self.settings, self.now - b.entry.started
         if b.entry.started <= 0 or age >= s.cold_time:
             return True
-        full = max(self.opened, 1) / max(1, len(self.rows))  # this balancer's part of a usual backend's load
         part = s.cold_from + (1 - s.cold_from) * max(0.0, age) / s.cold_time
-        room = COLD_SAFETY * s.fall_multiple * part * full
-        return len(b.flows) + self._rejected(b) <= room + math.sqrt(room) \
-            and ((flow.pick ^ b.hash) * GOLDEN & M64) / M64 < part
-
-    def _rejected(self, b: Backend) -> float:
-        return b.rejected * math.exp((b.rejected_at - self.now) / max(1.0, self.settings.overload_for))
+        room = COLD_SAFETY * s.fall_multiple * part * max(self.opened, 1) / max(1, len(self.rows))
+        return ((flow.pick ^ b.hash) * GOLDEN & M64) / M64 < part and len(b.flows) <= room + math.sqrt(room)
 
     def _choose(self, flow: Flow) -> Backend | None:
-        group, spread, usable = flow.group, self._spread(flow.group), list[Backend]()
-        crowded: list[tuple[float, int, Backend]] = []
-        if not any(self.backends[row[1]].ready for row in group.head[:HEAD // 2]):
+        group, crowded = flow.group, list[tuple[float, int, Backend]]()
+        if not self.planned:
+            self._plan()
+        if not group.head:
             self._rank(group)
-        for _, backend_id in group.head:
+        mine = [row for row in group.parts if flow.pick <= row[0] * 2 ** 32][:1]
+        for _, backend_id in (*mine, *group.parts, *group.head):
             b = self.backends[backend_id]
             if not b.ready or b.down_until > self.now or b.id in flow.tried \
                     or not self._may_repeat(flow, b) or not self._cold_room(flow, b):
                 continue
-            if self._fill(b, group, SURE) > self.bound:
-                crowded.append((self._fill(b, group), len(crowded), b))
-            elif len(usable) < spread:
-                usable.append(b)
-            else:
-                break
-        return usable[flow.pick % len(usable)] if usable else min(crowded)[2] if crowded else None
+            if self._fill(b, group, SURE) <= self.bound:
+                return b
+            crowded.append((self._fill(b, group), len(crowded), b))
+        return min(crowded)[2] if crowded else None
 
     def _may_repeat(self, flow: Flow, b: Backend) -> bool:
         """No effect twice: after an attempt that may have run, only where its repeat is dropped."""
@@ -311,7 +317,6 @@
         group.at = self.count_at = self.now
         flow = Flow(e, self.classes.get(e.class_name) or self.settings.classes[0], group, deadline)
         self.flows[flow.id] = flow
-        self.usual_worth += 0.05 * (flow.cls.worth - self.usual_worth)
         return flow
 
     def _on_carried(self, e: i.Carried) -> None:
@@ -404,8 +409,6 @@
             return
         b, hurt = self.backends[flow.backend], min(2.0, e.delay / self.aim)
         b.slow_at, b.slow = self.now, min(1.0, hurt)
-        # Each with a chance of its own: were it one a note, a backend would be emptied at once where
-        # every balancer holds one connection.  In overload moves shed load, so the dear go less.
         self._thin_out(b, self.move * hurt)
 
     def _on_silent(self, e: i.Silent) -> None:
@@ -418,9 +421,7 @@
     def _thin_out(self, b: Backend, part: float) -> None:
         """Move about this part of a backend's connections to where they would go now."""
         for other in b.flows.values():
-            dear = self.throttle.on and other.cls.worth > self.usual_worth
-            chance = part * (self.usual_worth / other.cls.worth if dear else 1.0)
-            if other.open and self.now - other.since > SETTLED and self.random.random() < chance \
+            if other.open and self.now - other.since > SETTLED and self.random.random() < part \
                     and self._choose(other) not in (b, None):
                 other.since = self.now
                 self.out.append(i.Move(other.id))
@@ -491,7 +492,6 @@
         if outcome in (i.Outcome.FULL, i.Outcome.TIMEOUT):
             b.slow_at, b.slow = self.now, 1.0  # who breaks off in a moment is not crowded
         self.failed += not was_open and outcome is not i.Outcome.ERROR
-        b.rejected, b.rejected_at = self._rejected(b) + 1, self.now
         if outcome is i.Outcome.FULL:
             b.down_until = self.now + 200.0 * self._jitter()
         elif outcome is not i.Outcome.ERROR:  # it costs a moment, and may be the fault of the request
@@ -546,6 +546,7 @@
         """The monitor: how many of the backends in use are in trouble decides on the throttle and r.
         One that is skipped drowns in nothing: the others take in its clients, and show it if they cannot."""
         self._timer(PERIOD, 1)
+        self.planned = False
         self._level_out()
         self._empty()
         self._fetch()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -37,10 +37,11 @@
     assert set(moved) == {21} and len(moved) < 30
 
 
-def test_cached_head_equals_a_fresh_ranking() -> None:
+def test_head_of_a_ranking_is_made_anew_with_the_list() -> None:
     bench = Bench(backends=60)
     place(bench, 1, "g")
     bench.put(i.ListUpdate(i.ListKind.CHANGES, ready(*range(61, 90))))
+    place(bench, 2, "g")
     fresh = Bench(backends=89)
     place(fresh, 1, "g")
     cached, = bench.balancer.groups.values()
@@ -151,7 +152,7 @@
 
 def test_backend_that_answers_some_errors_goes_on_serving_others() -> None:
     """Skipped for ever longer, one that refused every other request left all its load to the rest."""
-    bench = Bench(backends=5, max_attempts=3)
+    bench = Bench(backends=5, max_attempts=3, tenants=(i.Tenant("t", 100.0),))
     served = 0
     for n in range(100):
         actions = bench.ask(n, "k")
@@ -315,8 +316,22 @@
     assert moved and all(send.backend == home for send in opened if send.request in moved)
 
 
+def test_groups_are_poured_over_their_rankings_and_meet_nowhere() -> None:
+    """Hashing alone let large groups meet on one of nine backends while others stood empty."""
+    homes: dict[int, dict[str, set[int]]] = {}
+    for seed in range(40):
+        bench = Bench(seed=seed, backends=9, balancers=40, index=seed, tenants=(i.Tenant("t", 450.0),))
+        for n in range(20):  # a few clients of eight groups
+            key = f"g{min(7, (n * 37 + seed * 11) % 128 * 8 // 128)}"
+            for send in sends(bench.ask(n, key)):
+                bench.stand(send)
+                homes.setdefault(send.backend, {}).setdefault(key, set()).add(seed)
+    loads = [sum(len(who) for who in groups.values()) for groups in homes.values()]
+    assert len(homes) == 9 and max(loads) < 2.2 * sum(loads) / 9
+
+
 def test_hot_group_is_spread_over_several() -> None:
-    bench = Bench(backends=40)
+    bench = Bench(backends=40, tenants=(i.Tenant("t", 400.0),))
     homes = [place(bench, n, "hot" if n % 2 else f"g{n}") for n in range(400)]
     assert len(set(homes[201::2])) >= 6
 
