Let cold servers weigh in the plan by what they can take by now

Checked: the list is not late there (each change reaches all forty balancers within 0.3 s). What a cold server was refused by the hash part went to the next in the group's ranking, outside the plan.

At fault: `_plan`, which gave a cold server its full part, and `_cold_room`, which then turned most of that away.

Change: `_warm` scales a server's capacity in the plan; the hash part is gone; the bound on a balancer's own count stays. Test: five of nine cold, what they cannot take stands evenly on the others (1.09 of the mean, 1.25 before).

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -17,7 +17,6 @@
 from crowgap import interface as i
 
 M64 = (1 << 64) - 1
-GOLDEN = 0x9E3779B97F4A7C15  # odd 64-bit multiplier: a second hash, independent of the ranking
 KEPT, HEAD = 300, 32  # groups remembered; ranks kept of each: a group's spread and what failures may skip
 TOTAL = 10.0  # C_J + C_T: Berger IV.A finds 10 enough for a robust throughput
 FEW = 1.0  # tokens at turn-on, so that a true overload is throttled at once
@@ -227,7 +226,7 @@
         """
         seen = [(g, g.count * math.exp((g.at - self.now) / MEMORY))
                 for g in sorted(self.groups.values(), key=lambda group: group.hash)]
-        room = {b.id: self.unit * b.weight * b.pace for b in self.rows}
+        room = {b.id: self.unit * b.weight * b.pace * self._warm(b) for b in self.rows}
         total, fleet = sum(count for _, count in seen), sum(self.quotas.values()) * self.settings.balancers
         bound = max(SAFE, EVEN * (fleet + GROUP * len(seen)) / max(1.0, sum(room.values())))
         room = {b: bound * most - GROUP for b, most in room.items()}
@@ -273,17 +272,18 @@
         everywhere = n * held + (joining is not None) + GROUP * groups - sure * math.sqrt(n * (n - 1) * held)
         return everywhere / (self.unit * b.weight * b.pace)
 
-    def _cold_room(self, flow: Flow, b: Backend) -> bool:
-        """A cold backend takes the part of its clients that it can by now: all together could push it over.
-
-        The hash says whom.  Turns would leave it empty: whose turn it is has often nobody to send.
-        """
-        s, age = self.settings, self.now - b.entry.started
+    def _warm(self, b: Backend) -> float:
+        """How much of its capacity a backend has by now."""
+        s, age = self.settings, max(0.0, self.now - b.entry.started)
         if b.entry.started <= 0 or age >= s.cold_time:
-            return True
-        part = s.cold_from + (1 - s.cold_from) * max(0.0, age) / s.cold_time
-        room = COLD_SAFETY * s.fall_multiple * part * max(self.opened, 1) / max(1, len(self.rows))
-        return ((flow.pick ^ b.hash) * GOLDEN & M64) / M64 < part and len(b.flows) <= room + math.sqrt(room)
+            return 1.0
+        return s.cold_from + (1 - s.cold_from) * age / s.cold_time
+
+    def _cold_room(self, b: Backend) -> bool:
+        """May a cold backend take one more of this balancer's?  All together could push it over."""
+        part = self._warm(b)
+        room = COLD_SAFETY * self.settings.fall_multiple * part * max(self.opened, 1) / max(1, len(self.rows))
+        return part >= 1.0 or len(b.flows) <= room + math.sqrt(room)
 
     def _choose(self, flow: Flow) -> Backend | None:
         group, crowded = flow.group, list[tuple[float, int, Backend]]()
@@ -295,7 +295,7 @@
         for _, backend_id in (*mine, *group.parts, *group.head):
             b = self.backends[backend_id]
             if not b.ready or b.down_until > self.now or b.id in flow.tried \
-                    or not self._may_repeat(flow, b) or not self._cold_room(flow, b):
+                    or not self._may_repeat(flow, b) or not self._cold_room(b):
                 continue
             if self._fill(b, group, SURE) <= self.bound:
                 return b
