Time a PING to servers in use and move clients off those that answer slowly

A probe of PINGs and setups by server: 2.2 ms idle, 10.1 ms at 18 connections, 6.4, 4.7, 3.9, 3.2 ms as they fell to 10, 36 ms at a bad server. Setups show it too (10 ms, 57 ms), but few come.

At fault: nothing told the module how busy a server is where the wire tells no delay.

Change: action Probe and event Probed through interface, adapter, decider and net/probe.py (one actor, one connection, only the answer timed); `_heat` compares with the median for its size. Tests seen failing: without the thinning out and the heat in _choose.

--- a/benchmarks/broker.py
+++ b/benchmarks/broker.py
@@ -135,7 +135,8 @@
         config = check({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
                         "settings": settings(["t0"], 600.0)})
         loop = Loop(Log(sink=io.StringIO()), lambda: self.now)
-        desks = Desks(lambda *_: Decider(loop, config.settings, 1, lambda: 0.0, lambda: None), dict)
+        desks = Desks(lambda *_: Decider(loop, config.settings, 1, lambda: 0.0, lambda: None,
+                                            lambda *_: None), dict)
         self.stage = ContractStage(loop, many_teams(count), desks, 1, 0, 1, 600.0, lambda: 300.0)
         self.stage.desks.split = None  # every pool counts as having destinations
         self.openings = [lines.parse_opening(
--- a/crowgap/benchlink.py
+++ b/crowgap/benchlink.py
@@ -85,6 +85,7 @@
         overload_for=rules.get("overloadFor", 1000.0),
         live_weights=setup.get("weights") == "live",
         move_price=prices.get("moves", 0.0) + prices.get("handshake", 0.0),
+        probes=bool(limits.get("probes", False)),
         tick=setup.get("tick", 1.0),
     )
 
@@ -156,6 +157,11 @@
     return i.TimerDue(e.get("cookie", 0))
 
 
+def _probed(e: Wire) -> i.Probed:
+    answered = OUTCOMES[e.get("code", 0)] is i.Outcome.OK
+    return i.Probed(e["backend"], e.get("delaySeen", 0.0) if answered else -1.0)
+
+
 EVENTS: dict[str, Callable[[Wire], i.Event | None]] = {
     "MEMBERSHIP": _members,
     "ORDER": _request,
@@ -165,9 +171,10 @@
     "COMPLETED": _ended,
     "GONE": _gone,
     "TICK_DUE": _timer,
+    "PROBE_RESULT": _probed,
 }
-# Probes and messages between balancers are never asked for; what should still arrive is passed over.
-UNUSED = frozenset({"PROBE_RESULT", "MEMO"})
+# Messages between balancers are never asked for; what should still arrive is passed over.
+UNUSED = frozenset({"MEMO"})
 
 ACTIONS: dict[type, Callable[[Any], Wire]] = {
     i.Send: lambda a: {"verb": "HAND_OFF", "msgId": a.request, "backend": a.backend, "maxWait": a.timeout},
@@ -176,6 +183,7 @@
     i.Move: lambda a: {"verb": "SHIFT", "msgId": a.request},
     i.SetTimer: lambda a: {"verb": "DEFER", "at": a.at, "cookie": a.token},
     i.Subscribe: lambda a: {"verb": "TRACK", "enable": True},
+    i.Probe: lambda a: {"verb": "PROBE", "backend": a.backend},
 }
 
 
--- a/crowgap/interface.py
+++ b/crowgap/interface.py
@@ -99,6 +99,7 @@
     overload_for: float = 1000.0
     live_weights: bool = False
     move_price: float = 0.0
+    probes: bool = False
     tick: float = 1.0
 
     def __post_init__(self) -> None:
@@ -218,6 +219,14 @@
     request: int
 
 
+@dataclass(slots=True)
+class Probed:
+    """A probe has ended: ``elapsed`` is the time of its answer alone, or -1 where none came."""
+
+    backend: int
+    elapsed: float
+
+
 @dataclass(slots=True)
 class TimerDue:
     """A timer set by ``SetTimer`` is due."""
@@ -225,7 +234,8 @@
     token: int
 
 
-Event = ListUpdate | Request | Carried | Established | DelayNote | LoadNote | Silent | Ended | Gone | TimerDue
+Event = (ListUpdate | Request | Carried | Established | DelayNote | LoadNote | Silent | Ended | Gone
+         | TimerDue | Probed)
 
 
 @dataclass(slots=True)
@@ -272,4 +282,11 @@
     """Ask the list service for changes from now on."""
 
 
-Action = Send | Refuse | Fail | Move | SetTimer | Subscribe
+@dataclass(slots=True)
+class Probe:
+    """Ask a backend for a sign of life; it costs the backend a little work."""
+
+    backend: int
+
+
+Action = Send | Refuse | Fail | Move | SetTimer | Subscribe | Probe
--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -23,7 +23,6 @@
 HOLD, SHRINK = 2000.0, 8000.0  # ms of overload before the buffer shrinks, and until it is gone
 PERIOD = 500.0  # ms between looks of the monitor: several looks within any patience
 ON, OFF, MANY = 0.35, 0.15, 3.0  # share of trouble: lowers r, counts as healthy; failures that make a share
-RECENT = 5000.0  # ms over which the rate of good setups is taken, to start r from
 FLOOR = 0.1  # of the usual arrivals let out at least: some setups must show when it is over
 UP, DOWN, CALM = 1.1, 0.85, 6  # change of r a look, down faster than up; healthy looks to turn off
 MEMORY = 30000.0  # ms over which arrivals are remembered: about a connection's life
@@ -36,6 +35,8 @@
 CROWDED, SHED = 1.1, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
 SURE = 1.5  # standard errors by which a backend must be over the bound: few connections tell little
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
+ASKED, OTHERS = 0.33, 0.3  # chance of a probe a look; of each not in use, to compare with
+HOT, GAIN, FRESH = 1.6, 0.2, 5000.0  # times the usual; chance of a move for each time more; ms it counts
 LEAVE = 2000.0  # ms over which the clients of a backend that leaves are moved
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
 
@@ -48,12 +49,13 @@
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
     __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "load", "open",
-                 "pace", "ready", "setup", "setups", "skipped", "slow", "slow_at",
-                 "told", "weight")
+                 "pace", "ping", "ping_at", "ready", "setup", "setups", "skipped", "slow", "slow_at", "told",
+                 "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
         self.hash = _hash(str(entry.backend))
+        self.ping, self.ping_at = 0.0, -math.inf  # ms times weight that the answer to a probe took last; when
         self.down_until = self.skipped = self.slow_at = -math.inf
         self.fails, self.slow = 0, 0.0
         self.leaving = math.inf  # when the list said that it drains or is gone
@@ -94,7 +96,7 @@
 
     def __init__(self) -> None:
         self.on, self.rate, self.tokens, self.at, self.since = False, 0.0, 0.0, 0.0, 0.0
-        self.waiting: list[tuple[float, int, Flow]] = []  # dearest first, then oldest
+        self.waiting: list[Flow] = []  # oldest first
 
     def bank(self, now: float) -> float:
         """C_T now: few at turn-on (a false alarm only delays), all of C_J + C_T if overload lasts."""
@@ -119,7 +121,6 @@
         self.classes = {c.name: c for c in settings.classes}
         self.quotas = {t.name: t.quota / settings.balancers for t in settings.tenants}
         self.aim = min([c.message_aim for c in settings.classes if c.message_aim > 0], default=100.0)
-        self.move = MOVE / (1 + 12 * settings.move_price)  # a dear move must gain more
         self.backends: dict[int, Backend] = {}
         self.rows: list[Backend] = []  # those that may be sent to
         self.total = Backend(i.BackendEntry(-1, i.State.READY))  # open connections and loads of all together
@@ -127,9 +128,8 @@
         self.active: dict[int, Backend] = {}  # in use since the monitor's last look
         self.groups: dict[int, Group] = {}
         self.flows: dict[int, Flow] = {}
-        self.held: dict[str, int] = {}  # open connections a tenant
-        self.count, self.count_at, self.opened, self.seq = 0.0, 0.0, 0, 0
-        self.good, self.stood, self.failed, self.calm, self.backoff = 0.0, 0.0, 0.0, 0, PERIOD
+        self.count, self.count_at, self.opened = 0.0, 0.0, 0
+        self.stood, self.failed, self.calm, self.backoff = 0.0, 0.0, 0, PERIOD
         self.planned = False
         self.pump_at, self.looking, self.now, self.out = math.inf, False, 0.0, list[i.Action]()
         self.timers: dict[int, Any] = {
@@ -138,7 +138,7 @@
             i.ListUpdate: self._on_list, i.Request: self._on_request, i.Carried: self._on_carried,
             i.Established: self._on_established, i.DelayNote: self._on_note, i.LoadNote: self._on_load,
             i.Silent: self._on_silent, i.Ended: self._on_ended, i.Gone: self._on_gone,
-            i.TimerDue: lambda e: self.timers.get(e.token, lambda: None)()}
+            i.TimerDue: lambda e: self.timers.get(e.token, lambda: None)(), i.Probed: self._on_probed}
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         """Take one event; the actions returned are carried out in order."""
@@ -227,7 +227,8 @@
         seen = [(g, g.count * math.exp((g.at - self.now) / MEMORY))
                 for g in sorted(self.groups.values(), key=lambda group: group.hash)]
         room = {b.id: self.unit * b.weight * b.pace * self._warm(b) for b in self.rows}
-        total, fleet = sum(count for _, count in seen), sum(self.quotas.values()) * self.settings.balancers
+        total = 1.0 + sum(count for _, count in seen)  # one for the groups that are still to be seen
+        fleet = sum(self.quotas.values()) * self.settings.balancers
         bound = max(SAFE, EVEN * (fleet + GROUP * len(seen)) / max(1.0, sum(room.values())))
         room = {b: bound * most - GROUP for b, most in room.items()}
         for group, count in seen if room and self.quotas else ():  # else nothing is known of capacity
@@ -297,9 +298,10 @@
             if not b.ready or b.down_until > self.now or b.id in flow.tried \
                     or not self._may_repeat(flow, b) or not self._cold_room(b):
                 continue
-            if self._fill(b, group, SURE) <= self.bound:
+            fill, heat = self._fill(b, group, SURE), self._heat(b)
+            if fill <= self.bound and not heat:
                 return b
-            crowded.append((self._fill(b, group), len(crowded), b))
+            crowded.append((heat + fill, len(crowded), b))
         return min(crowded)[2] if crowded else None
 
     def _may_repeat(self, flow: Flow, b: Backend) -> bool:
@@ -338,15 +340,9 @@
         elif len(throttle.waiting) >= TOTAL - throttle.bank(self.now):
             self._refuse(flow)
             return
-        self.seq += 1
-        insort(throttle.waiting, (-self._value(flow), self.seq, flow))
+        throttle.waiting.append(flow)
         self._arm()
 
-    def _value(self, flow: Flow) -> float:
-        """Who goes first in the buffer: worth, which is little beyond a tenant's share."""
-        over = self.held.get(flow.tenant, 0) > self.quotas.get(flow.tenant, math.inf)
-        return flow.cls.worth * (self.settings.over_share_worth if over else 1.0)
-
     def _send(self, flow: Flow) -> bool:
         b = self._choose(flow)
         if b is None:
@@ -384,14 +380,13 @@
         b.setup += max(PACE, 1.0 / b.setups) * (e.elapsed - b.setup)
         if e.elapsed > flow.cls.aim:
             b.slow_at, b.slow = self.now, 1.0
-        self.stood, self.good = self.stood + 1, self.good + 1
+        self.stood += 1
         self._opened(flow)
 
     def _opened(self, flow: Flow) -> None:
         flow.pending, flow.open, flow.since, flow.stood = False, True, self.now, self.now
         flow.tried.clear()
         self.opened += 1
-        self.held[flow.tenant] = self.held.get(flow.tenant, 0) + 1
         self.active[flow.backend] = b = self.backends[flow.backend]
         b.flows[flow.id] = flow
         self._account(flow, b, 1)
@@ -409,7 +404,7 @@
             return
         b, hurt = self.backends[flow.backend], min(2.0, e.delay / self.aim)
         b.slow_at, b.slow = self.now, min(1.0, hurt)
-        self._thin_out(b, self.move * hurt)
+        self._thin_out(b, MOVE * hurt)
 
     def _on_silent(self, e: i.Silent) -> None:
         """One that is slow answers late, this one answers nobody: all leave it and nothing new goes there."""
@@ -418,6 +413,18 @@
                 self._skip(b)
             self._thin_out(b, 1.0)
 
+    def _on_probed(self, e: i.Probed) -> None:
+        if (b := self.backends.get(e.backend)) and e.elapsed >= 0.0:
+            b.ping, b.ping_at = e.elapsed * b.weight, self.now
+            self._thin_out(b, min(1.0, GAIN * self._heat(b)))
+
+    def _heat(self, b: Backend) -> float:
+        """How much more than HOT times the usual its last answer to a probe took, for its size."""
+        if self.now - b.ping_at > FRESH:
+            return 0.0
+        pings = sorted(one.ping for one in self.rows if self.now - one.ping_at <= 3 * FRESH)
+        return max(0.0, b.ping / pings[(len(pings) - 1) // 2] - HOT)
+
     def _thin_out(self, b: Backend, part: float) -> None:
         """Move about this part of a backend's connections to where they would go now."""
         for other in b.flows.values():
@@ -435,20 +442,14 @@
 
     def _fetch(self) -> None:
         """Backends that have started since get the clients that the hash gives them."""
-        young = [b for b in self.rows if self.now - b.entry.started < self.settings.cold_time + SETTLED]
-        for flow in self.flows.values() if young else ():
+        for flow in self.flows.values():
             if flow.open and self.now - flow.since > SETTLED and self.random.random() < MOVE \
                     and (b := self._choose(flow)) and b.id != flow.backend and b.entry.started > flow.stood:
                 flow.since = self.now
                 self.out.append(i.Move(flow.id))
 
     def _level_out(self) -> None:
-        """Bound the fill of each backend: hashing alone lets a few large groups meet on one of them.
-
-        Where the wire tells no delay, a crowded backend shows in the loads of its connections only.  The
-        bound follows the mean, so that wrong guesses of capacity and of other balancers' part cancel out.
-        Weights tell the registered size only: how long setups take shows which backends are slower than that.
-        """
+        """Bound the fill of each backend: hashing alone lets a few large groups meet on one of them."""
         used = [b for b in self.rows if b.down_until <= self.now]  # the skipped tell nothing of them
         timed = [b for b in used if b.setups >= PACED and b.setup > 0.0]
         usual = sum(b.setup * b.weight for b in timed) / len(timed) if timed else 0.0
@@ -471,7 +472,6 @@
             self._account(flow, b, -1)
         was_open, flow.pending = flow.open, False
         self.opened -= was_open
-        self.held[flow.tenant] = self.held.get(flow.tenant, 0) - was_open
         self._judge(b, e.outcome, was_open)
         if e.closed or was_open or flow.deadline < 0:
             del self.flows[flow.id]
@@ -509,7 +509,7 @@
             flow.deadline = -math.inf  # its attempt still ends; nothing more goes out for it
         elif flow is not None:
             del self.flows[flow.id]
-            self.throttle.waiting = [row for row in self.throttle.waiting if row[2] is not flow]
+            self.throttle.waiting = [other for other in self.throttle.waiting if other is not flow]
 
     def _arm(self) -> None:
         """Wake for the next token or the next waiting setup at its end, whichever is first."""
@@ -518,7 +518,7 @@
             return
         if throttle.on and throttle.rate > 0:
             wait = min(wait, max(0.0, 1.0 - throttle.tokens) / throttle.rate)
-        end = min(row[2].deadline - self._margin(row[2]) for row in throttle.waiting)
+        end = min(flow.deadline - self._margin(flow) for flow in throttle.waiting)
         wait = max(min(wait, end - self.now), self.settings.tick)
         if self.now + wait < self.pump_at:
             self.pump_at = self.now + wait
@@ -528,42 +528,42 @@
         """Let out what has a token, refuse what nears its end and what a shrunken buffer no longer holds."""
         if self.now >= self.pump_at - 0.01:  # the clock counts microseconds: a timer may seem early by less
             self.pump_at = math.inf
-        throttle, kept = self.throttle, []
-        for row in throttle.waiting:
-            if self.now >= row[2].deadline - self._margin(row[2]):
-                self._refuse(row[2])
+        throttle, kept = self.throttle, list[Flow]()
+        for flow in throttle.waiting:
+            if self.now >= flow.deadline - self._margin(flow):
+                self._refuse(flow)
             elif not throttle.take(self.now):
-                kept.append(row)
-            elif not self._send(row[2]):
+                kept.append(flow)
+            elif not self._send(flow):
                 throttle.tokens += 1.0
-                kept.append(row)
+                kept.append(flow)
         while throttle.on and len(kept) > math.ceil(TOTAL - throttle.bank(self.now)):
-            self._refuse(kept.pop()[2])
+            self._refuse(kept.pop())
         throttle.waiting = kept
         self._arm()
 
     def _look(self) -> None:
-        """The monitor: how many of the backends in use are in trouble decides on the throttle and r.
-        One that is skipped drowns in nothing: the others take in its clients, and show it if they cannot."""
+        """The monitor: how many of the backends in use are in trouble decides on the throttle and r."""
         self._timer(PERIOD, 1)
         self.planned = False
         self._level_out()
         self._empty()
         self._fetch()
+        some = [b for b in self.rows if b.flows or self.random.random() < OTHERS]
+        if self.settings.probes and some and self.random.random() < ASKED:
+            self.out.append(i.Probe(self.random.choice(some).id))  # its answer's time shows how busy it is
         bad = [b for b in self.active.values() if self.now - b.slow_at < SLOW_FOR]
         used = [b for b in self.active.values() if b.ready and b.down_until <= self.now]
         part = sum(b.slow for b in bad if b in used) / max(1, len(used))
         self.active = {b.id: b for b in self.active.values() if b.flows}
-        self.good *= math.exp(-PERIOD / RECENT)
         self.stood, self.failed = 0.75 * self.stood, 0.75 * self.failed
-        # One failing backend must not throttle setups that idle ones could take: it must be spread.
         share = self.failed / (self.failed + self.stood) if self.failed > MANY else 0.0
         pressure = max(share, part if sum(b.slow for b in bad) > 1.0 else 0.0)
         throttle, usual = self.throttle, max(self.count, 1.0) / MEMORY
         self.calm = self.calm + 1 if pressure <= OFF else 0
         if not throttle.on and pressure >= ON:
             throttle.on, throttle.tokens, throttle.at, throttle.since = True, FEW, self.now, self.now
-            throttle.rate = max(self.good / RECENT, FLOOR * usual)
+            throttle.rate = usual
         elif throttle.on:
             change = DOWN if pressure >= ON else UP if pressure <= OFF else 1.0
             throttle.rate = max(throttle.rate * change, FLOOR * usual)
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -95,6 +95,14 @@
     destination: int
 
 
+@dataclass(slots=True)
+class Probed:
+    """How many ms a destination took to answer a PING; -1 where it did not."""
+
+    destination: int
+    elapsed: float
+
+
 @dataclass(slots=True)
 class Load:
     """The work a second that a connection asks of its destination now."""
@@ -141,10 +149,10 @@
     lasting = True
 
     def __init__(self, loop: Loop, settings: i.Settings, seed: int, now_ms: Callable[[], float],
-                 watch_pool: Callable[[], None]) -> None:
+                 watch_pool: Callable[[], None], probe: Callable[[int, Decider], None]) -> None:
         super().__init__(loop)
         self.balancer = Balancer(settings, seed)
-        self.now_ms, self.watch_pool = now_ms, watch_pool
+        self.now_ms, self.watch_pool, self.probe = now_ms, watch_pool, probe
         self.alarms: list[tuple[float, int]] = []
         self.numbers: dict[Client, int] = {}
         self.clients: dict[int, Client] = {}
@@ -175,6 +183,8 @@
             return i.Carried(self._number(m.client, 1), m.class_name, m.destination, m.key, m.group, m.tenant)
         if isinstance(m, Silent):
             return i.Silent(m.destination)
+        if isinstance(m, Probed):
+            return i.Probed(m.destination, m.elapsed)
         assert isinstance(m, StepUp | StepEnded | Left | Slow | Load)
         number = self.numbers.get(m.client)
         if number is None:
@@ -228,6 +238,9 @@
         if isinstance(action, i.Subscribe):
             self.watch_pool()
             return
+        if isinstance(action, i.Probe):
+            self.probe(action.backend, self)
+            return
         client = self.clients.get(action.request)
         if client is None:
             return
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -24,6 +24,7 @@
 from snowwick.net.path import Ask, Decisions, Openings, Path, Room
 from snowwick.net.peer import CHUNK
 from snowwick.net.pool import CallFailed, NewAddress, Pool, WatchPool
+from snowwick.net.probe import Probe
 
 if TYPE_CHECKING:
     from snowwick.broker.contract import Contracts
@@ -123,7 +124,14 @@
         if tenants is not None:
             settings = replace(settings, tenants=tuple(t for t in settings.tenants if t.name in tenants))
             seed ^= crc32(pool.encode())
-        return Decider(self.loop, settings, seed, self.now_ms, lambda: self.pool.post(WatchPool()))
+        return Decider(self.loop, settings, seed, self.now_ms, lambda: self.pool.post(WatchPool()),
+                       self.probe)
+
+    def probe(self, destination: int, decider: Decider) -> None:
+        """Time a PING to a destination, where the pool config has it and a descriptor is to spare."""
+        address = self.address(destination)
+        if address is not None and not self.short_of_sockets():
+            Probe(self.loop, destination, address, self.connect_wait, decider).start()
 
     def make_contract_stage(self, contracts: Contracts) -> ContractStage:
         from snowwick.net.contracts import ContractStage  # msgspec comes with it: only where it is wanted
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 import pytest
 from wire import World, address
 
-from snowwick.net.decider import PoolNews, Silent, Slow
+from snowwick.net.decider import PoolNews, Probed, Silent, Slow
 from snowwick.net.gauge import MOST_KEPT, Gauge, Meter, is_silent, message_delay
 from snowwick.net.loop import Loop
 from snowwick.net.pool import WatchPool, number_of
@@ -233,6 +233,24 @@
     assert next(looks) == 1 and not balancer.flows, "the monitor looks on, and nothing is left of the request"
 
 
+@pytest.mark.parametrize("answer,elapsed", [("d1 send PONG", 7.0), ("d1 send ERR", -1.0), ("d1 close", -1.0),
+                                            ("wait 300", -1.0)])
+def test_probe_is_timed_and_closed_whatever_comes_back(world: World, answer: str, elapsed: float) -> None:
+    heard: list[object] = []
+    decider = world.service.decider
+    sockets, told = world.loop.sockets, decider.post
+    decider.post = lambda message: heard.append(message) if isinstance(message, Probed) else told(message)  # type: ignore[method-assign]
+    world.service.probe(number_of("s-1"), decider)
+    world.play("d1 expect PING")
+    world.clock.now += 0.007
+    world.play(answer)
+    world.until(lambda: heard)
+    (probed,) = heard
+    assert isinstance(probed, Probed) and probed.elapsed == pytest.approx(elapsed, abs=0.01)
+    assert world.loop.sockets == sockets
+    world.service.probe(number_of("nobody"), decider)  # not in the list: nothing is asked
+
+
 def test_slow_reader_stops_the_other_side(world: World) -> None:
     """Without a bound, one client that does not read would fill the memory with its destination's lines."""
     world.play(UP)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -434,9 +434,46 @@
     bench = Bench(backends=4, balancers=40, cold_time=8800.0, cold_from=0.3, fall_multiple=3.0,
                   tenants=(i.Tenant("t", 450.0),))
     bench.put(i.ListUpdate(i.ListKind.CHANGES, ready(*range(5, 10), started=bench.now)))
-    for n in range(13):  # seen before, so that the plan knows them
-        bench.balancer._make(i.Request(9000 + n, "feed", 1000.0, "", f"g{n}"), 0.0)
+    for n in range(130):  # seen before, so that the plan knows them
+        bench.balancer._make(i.Request(9000 + n, "feed", 1000.0, "", f"g{n % 13}"), 0.0)
     for n in range(200):
         bench.stand(sends(bench.ask(n, f"g{n * 7 % 13}"))[0])
     held = [bench.balancer.backends[b].open for b in range(1, 10)]
     assert max(held[:4]) <= 1.15 * sum(held[:4]) / 4 and max(held[4:]) < min(held[:4]), held
+
+
+def test_backend_that_is_slow_to_answer_probes_loses_clients_and_gets_no_new_ones() -> None:
+    """Forty balancers with a connection or two on each server could not see which were crowded."""
+    bench = Bench(backends=9, balancers=40, tenants=(i.Tenant("t", 4500.0),), probes=True)
+    stood = [sends(bench.ask(n, f"g{n}"))[0] for n in range(100)]
+    for send in stood:
+        bench.stand(send)
+    home = stood[0].backend
+    for _ in range(30):
+        bench.run(bench.now + 1000.0)
+        for probe in bench.all(i.Probe):
+            bench.put(i.Probed(probe.backend, 10.0 if probe.backend == home else 2.0))
+        bench.actions = [row for row in bench.actions if not isinstance(row[1], i.Probe)]
+    on = {send.request for send in stood if send.backend == home}
+    moved = {move.request for move in bench.all(i.Move)}
+    assert moved and moved <= on and home not in [place(bench, n, f"g{n - 1000}") for n in range(1000, 1100)]
+
+
+def test_probes_are_asked_where_the_settings_allow_them_only_and_at_a_bounded_rate() -> None:
+    for allowed in (False, True):
+        bench = Bench(backends=9, balancers=40, tenants=(i.Tenant("t", 450.0),), probes=allowed)
+        for n in range(5):
+            bench.stand(sends(bench.ask(n, f"g{n}"))[0])
+        bench.run(bench.now + 60000.0)
+        asked = [probe.backend for probe in bench.all(i.Probe)]
+        assert 20 <= len(asked) <= 60 and len(set(asked)) >= 5 if allowed else not asked
+
+
+def test_probe_that_was_not_answered_says_nothing_of_load() -> None:
+    bench = Bench(backends=3, probes=True)
+    (send,) = sends(bench.ask(1))
+    bench.stand(send)
+    bench.run(bench.now + 3000.0)
+    bench.put(i.Probed(send.backend, -1.0))
+    bench.put(i.Probed(99, 5.0))  # one that is not known any more
+    assert not bench.all(i.Move) and place(bench, 2, "g1") == send.backend
