--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -74,6 +74,10 @@
     ({"settings": {**SETTINGS, "familyInfo": 3}}, "settings"), ({"limits": 5}, "limits"),
     ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"seed": 1.5}, "seed"),
     ({"known": {"version": 1}}, "known.servers"),
+    *[({"settings": {**SETTINGS, "nInstances": bad}}, "settings.nInstances: ")
+      for bad in (0, -1, "40", 2.5, True)],
+    *[({"settings": {**SETTINGS, "nInstances": 2, "selfIndex": bad}}, "settings.selfIndex: ")
+      for bad in (2, -1, "0", None)],
     ({"name": 7}, "name"),
 ])
 def test_bad_configuration_names_its_key(change: dict[str, Any], key: str) -> None:
