--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -477,3 +477,14 @@
     bench.put(i.Probed(send.backend, -1.0))
     bench.put(i.Probed(99, 5.0))  # one that is not known any more
     assert not bench.all(i.Move) and place(bench, 2, "g1") == send.backend
+
+
+def test_first_calls_of_a_fleet_that_restarts_together_are_spread() -> None:
+    """A new watch takes the list service 0.13 s: all at once would wait longer than a call may."""
+    first = []
+    for index in range(40):
+        bench = Bench(seed=index, backends=9, balancers=40, index=index, must_ask=True)
+        began = bench.now
+        bench.run(began + 4100.0)
+        first.append(min(at for at, action in bench.actions if isinstance(action, i.Subscribe)) - began)
+    assert max(sum(at <= call < at + 1000.0 for call in first) for at in first) <= 16
