--- a/crowgap/benchlink.py
+++ b/crowgap/benchlink.py
@@ -46,7 +46,7 @@
 def settings_from(setup: Wire) -> i.Settings:
     """Translate the wire's settings; keys that are not known are skipped, missing ones take defaults."""
     family, limits = setup.get("familyInfo", {}), setup.get("limits", {})
-    rules, prices = setup.get("invariants", {}), setup.get("prices", {})
+    rules = setup.get("invariants", {})
     message_aims = family.get("messageAim") or []
     quotas = family.get("tenantQuotaConnections") or []
     classes = tuple(
@@ -73,7 +73,6 @@
         index=setup.get("selfIndex", 0),
         zone=setup.get("zone", ""),
         tenants=tenants,
-        over_share_worth=setup.get("overShareWorth", 1.0),
         must_ask=setup.get("registryMode") == "on_request",
         ask_every=rules.get("askEvery", 10000.0),
         max_attempts=limits.get("mostTries", 1),
@@ -84,7 +83,6 @@
         fall_multiple=rules.get("fallMultiple", 1.0),
         overload_for=rules.get("overloadFor", 1000.0),
         live_weights=setup.get("weights") == "live",
-        move_price=prices.get("moves", 0.0) + prices.get("handshake", 0.0),
         probes=bool(limits.get("probes", False)),
         tick=setup.get("tick", 1.0),
     )
--- a/crowgap/interface.py
+++ b/crowgap/interface.py
@@ -87,7 +87,6 @@
     index: int = 0
     zone: str = ""
     tenants: tuple[Tenant, ...] = ()
-    over_share_worth: float = 1.0
     must_ask: bool = False
     ask_every: float = 10000.0
     max_attempts: int = 3
@@ -98,7 +97,6 @@
     fall_multiple: float = 2.0
     overload_for: float = 1000.0
     live_weights: bool = False
-    move_price: float = 0.0
     probes: bool = False
     tick: float = 1.0
 
--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -80,10 +80,10 @@
     """A request from its arrival to its end, and the connection it becomes."""
 
     __slots__ = ("attempts", "backend", "cls", "deadline", "group", "id", "load", "open", "pending",
-                 "pick", "since", "stood", "tenant", "tried", "unsure")
+                 "pick", "since", "stood", "tried", "unsure")
 
     def __init__(self, e: i.Request | i.Carried, cls: i.RequestClass, group: Group, deadline: float) -> None:
-        self.id, self.cls, self.tenant, self.group, self.deadline = e.request, cls, e.tenant, group, deadline
+        self.id, self.cls, self.group, self.deadline = e.request, cls, group, deadline
         self.pick = crc32((e.client_key or str(e.request)).encode())
         self.attempts, self.pending, self.open, self.backend, self.since = 0, False, False, -1, 0.0
         self.stood, self.load = 0.0, -1.0  # since when it is open; its load is not told yet
@@ -119,7 +119,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings, self.random, self.throttle = settings, random.Random(seed), Throttle()
         self.classes = {c.name: c for c in settings.classes}
-        self.quotas = {t.name: t.quota / settings.balancers for t in settings.tenants}
+        self.quota = sum(t.quota for t in settings.tenants)  # connections over all balancers
         self.aim = min([c.message_aim for c in settings.classes if c.message_aim > 0], default=100.0)
         self.backends: dict[int, Backend] = {}
         self.rows: list[Backend] = []  # those that may be sent to
@@ -182,9 +182,8 @@
         if len(self.backends) > 2 * len(self.rows) + HEAD:  # ids come and go with the machines
             self.backends = {b.id: b for b in self.backends.values() if b.ready or b.flows}
             self._forget_ranks()
-        if self.unit == math.inf and self.rows and self.quotas:
-            fleet = sum(self.quotas.values()) * self.settings.balancers / QUOTAS
-            self.unit = fleet / sum(b.weight for b in self.rows)
+        if self.unit == math.inf and self.rows and self.quota:
+            self.unit = self.quota / QUOTAS / sum(b.weight for b in self.rows)
         self._pump()
 
     def _unrank(self, b: Backend) -> None:
@@ -228,13 +227,12 @@
                 for g in sorted(self.groups.values(), key=lambda group: group.hash)]
         room = {b.id: self.unit * b.weight * b.pace * self._warm(b) for b in self.rows}
         total = 1.0 + sum(count for _, count in seen)  # one for the groups that are still to be seen
-        fleet = sum(self.quotas.values()) * self.settings.balancers
-        bound = max(SAFE, EVEN * (fleet + GROUP * len(seen)) / max(1.0, sum(room.values())))
+        bound = max(SAFE, EVEN * (self.quota + GROUP * len(seen)) / max(1.0, sum(room.values())))
         room = {b: bound * most - GROUP for b, most in room.items()}
-        for group, count in seen if room and self.quotas else ():  # else nothing is known of capacity
+        for group, count in seen if room and self.quota else ():  # else nothing is known of capacity
             if not group.head:
                 self._rank(group)
-            group.parts, share = [], fleet * count / total
+            group.parts, share = [], self.quota * count / total
             left = share
             for b in (row[1] for row in group.head):
                 if room[b] >= min(left, GROUP):
@@ -549,9 +547,10 @@
         self._level_out()
         self._empty()
         self._fetch()
-        some = [b for b in self.rows if b.flows or self.random.random() < OTHERS]
-        if self.settings.probes and some and self.random.random() < ASKED:
-            self.out.append(i.Probe(self.random.choice(some).id))  # its answer's time shows how busy it is
+        if self.settings.probes:
+            some = [b for b in self.rows if b.flows or self.random.random() < OTHERS]
+            if some and self.random.random() < ASKED:
+                self.out.append(i.Probe(self.random.choice(some).id))  # its time shows how busy it is
         bad = [b for b in self.active.values() if self.now - b.slow_at < SLOW_FOR]
         used = [b for b in self.active.values() if b.ready and b.down_until <= self.now]
         part = sum(b.slow for b in bad if b in used) / max(1, len(used))
--- a/snowwick/net/probe.py
+++ b/snowwick/net/probe.py
@@ -6,38 +6,35 @@
 
 from snowwick.net import lines
 from snowwick.net.decider import Decider, Probed
-from snowwick.net.loop import READ, Actor, Loop, Steps, Wait
-from snowwick.net.peer import CHUNK, connect, prepare
+from snowwick.net.loop import READ, Loop, Steps, Wait
+from snowwick.net.peer import LinePeer, connect, prepare
 
 
-class Probe(Actor):
+class Probe(LinePeer):
     """Connects, sends PING, tells the decider how many ms the answer took, and closes.
 
     The time of the connect does not count: the kernel answers that, whatever the destination has to do.
+    Raises OSError where there is no descriptor for it.
     """
 
     def __init__(self, loop: Loop, number: int, address: tuple[str, int], wait: float,
                  decider: Decider) -> None:
-        super().__init__(loop)
+        super().__init__(loop, prepare(socket.socket(socket.AF_INET, socket.SOCK_STREAM)))
         self.number, self.address, self.wait, self.decider = number, address, wait, decider
 
     def run(self) -> Steps:
-        elapsed, sock = -1.0, None
+        elapsed = -1.0
         try:
-            sock = prepare(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-            self.loop.sockets += 1
             until = self.loop.clock() + self.wait
-            if (yield from connect(self, sock, self.address, until)):
+            if (yield from connect(self, self.sock, self.address, until)):
                 sent = self.loop.clock()
-                sock.send(lines.PING + b"\r\n")
-                woke = yield Wait(sock, read=True, until=until)
-                if woke & READ and sock.recv(CHUNK) == lines.PONG:
+                self.out += lines.PING + b"\r\n"
+                self.flush()
+                woke = yield Wait(self.sock, read=True, until=until)
+                if woke & READ and self.receive() and self.inbox == lines.PONG:
                     elapsed = 1000.0 * (self.loop.clock() - sent)
         except OSError:
             pass  # refused or broken: no answer
         finally:
-            if sock is not None:
-                self.loop.release(self)
-                sock.close()
-                self.loop.sockets -= 1
+            self.shut()
             self.decider.post(Probed(self.number, elapsed))
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import random
 import signal
@@ -131,7 +132,8 @@
         """Time a PING to a destination, where the pool config has it and a descriptor is to spare."""
         address = self.address(destination)
         if address is not None and not self.short_of_sockets():
-            Probe(self.loop, destination, address, self.connect_wait, decider).start()
+            with contextlib.suppress(OSError):  # no descriptor after all: one probe fewer
+                Probe(self.loop, destination, address, self.connect_wait, decider).start()
 
     def make_contract_stage(self, contracts: Contracts) -> ContractStage:
         from snowwick.net.contracts import ContractStage  # msgspec comes with it: only where it is wanted
