Take a group seen once for one of many, by Good and Turing, not for a large one

A pair costs a server three mean connections: at 10 s 318 pairs weigh 954 beside 1465 connections, 2419 on 34 servers of about 64 each. Pings of the servers stand at 3.4 times their idle time from then on and they drop their clients ("destination-reset" 541 in 10 to 20 s, 80 of them in one second from one server). Lines at fault: `_plan` took count / (1 + sum) for a group's part of all. A balancer sees some 8 clients of 50 groups, so each group seen once was taken for an eighth of the fleet and cut over four or more servers. Change: the part of what was seen once is left to groups unseen (Good 1953), which needs no figure of the fleet and does nothing where much is seen.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -226,7 +226,8 @@
         seen = [(g, g.count * math.exp((g.at - self.now) / MEMORY))
                 for g in sorted(self.groups.values(), key=lambda group: group.hash)]
         room = {b.id: self.unit * b.weight * b.pace * self._warm(b) for b in self.rows}
-        total = 1.0 + sum(count for _, count in seen)  # one for the groups that are still to be seen
+        n = 1.0 + sum(count for _, count in seen)  # and by Good and Turing the part that was seen once
+        total = n * n / (n - sum(count for _, count in seen if count <= 1.0))  # is that of groups unseen
         bound = max(SAFE, EVEN * (self.quota + GROUP * len(seen)) / max(1.0, sum(room.values())))
         room = {b: bound * most - GROUP for b, most in room.items()}
         for group, count in seen if room and self.quota else ():  # else nothing is known of capacity
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import heapq
+import random
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
@@ -70,3 +72,34 @@
                     self.end(action, i.Outcome.TIMEOUT)
             self.run(self.now + 20.0)
         assert self.balancer.throttle.on
+
+
+class Fleet:
+    """Many balancers on one clock that hear nothing of each other: what all of them do, summed up."""
+
+    def __init__(self, balancers: int, entries: list[i.BackendEntry], seed: int = 1, **changes: Any) -> None:
+        self.random, self.now, self.last = random.Random(seed), 1000.0, 0
+        self.benches = [Bench(seed * 1000 + n, 0, self.now, **changes, balancers=balancers)
+                        for n in range(balancers)]
+        for bench in self.benches:
+            bench.put(i.ListUpdate(i.ListKind.REMEMBERED, entries))
+        # Uneven traffic: some see several times what others do.
+        self.weights = [self.random.gammavariate(2.0, 1.0) for _ in self.benches]
+        self.standing: dict[tuple[str, str], tuple[Bench, i.Send]] = {}
+
+    def come(self, group: str, client: str) -> None:
+        """A client comes, anew or again, at any balancer, and stands if it is sent on."""
+        if (old := self.standing.pop((group, client), None)) is not None:
+            old[0].end(old[1], i.Outcome.CANCELLED, closed=True)
+        (bench,) = self.random.choices(self.benches, self.weights)
+        bench.run(self.now)
+        self.last += 1
+        for action in bench.put(i.Request(self.last, "feed", 1000.0, client, group)):
+            if isinstance(action, i.Send):
+                bench.stand(action)
+                self.standing[group, client] = bench, action
+
+    def held(self) -> tuple[Counter[int], int]:
+        """Connections a backend, and how many pairs of backend and group there are."""
+        at = [(send.backend, group) for (group, _), (_, send) in self.standing.items()]
+        return Counter(backend for backend, _ in at), len(set(at))
