Ask three servers for a PING before each attempt instead of guessing how full they are

Lines at fault: `_level_out` and `_fill` judge a server by the balancer's own one to three connections times 200; `_look` asks one server in 1.5 s, so each is heard of every 10 s; `_heat` compares with a median that is itself high when most are crowded. Change: before it goes out, an attempt has the first three servers that may have it answer a PING, waits 0.15 of the aim at most, and takes the first that is no more than 1.6 times slower than the quickest. It asks after it has its token, so the throttle is as it was. Taken out, as they do not pay beside it: guessed fill, told loads, pace by setup times, thinning by fill, moves by heat, probes of the monitor. Tests: setups pass over the slow, do not wait for the silent, and 200 balancers on one clock keep a server under twice the mean; without asking one held 2.5 times.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -31,12 +31,9 @@
 SAFE, EVEN = 0.55, 1.08  # load over capacity, and over the fleet's mean, up to which a backend is filled
 QUOTAS = 0.81  # the tenants' quotas together, as part of what the fleet can hold
 GROUP = 3.0  # what a group costs a backend that holds any of it, in mean connections
-PACE, PACED = 0.1, 8  # part that a new setup time counts for; setups at a backend before its pace counts
-CROWDED, SHED = 1.1, 0.25  # of that bound: moves begin here; chance a look if the excess is a bound
-SURE = 1.5  # standard errors by which a backend must be over the bound: few connections tell little
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
-ASKED, OTHERS = 0.33, 0.3  # chance of a probe a look; of each not in use, to compare with
-HOT, GAIN, FRESH = 1.6, 0.2, 5000.0  # times the usual; chance of a move for each time more; ms it counts
+ASK, HOT = 3, 1.6  # backends asked before a setup; times as slow as the quickest: passed over
+WAIT, NEWS = 0.15, 1000.0  # of its aim that a setup waits for them; ms that an answer is news
 LEAVE = 2000.0  # ms over which the clients of a backend that leaves are moved
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
 
@@ -48,9 +45,8 @@
 class Backend:
     """What this balancer knows of one backend, from the list and from its own traffic."""
 
-    __slots__ = ("down_until", "entry", "fails", "flows", "groups", "hash", "id", "leaving", "load", "open",
-                 "pace", "ping", "ping_at", "ready", "setup", "setups", "skipped", "slow", "slow_at", "told",
-                 "weight")
+    __slots__ = ("down_until", "entry", "fails", "flows", "hash", "id", "leaving", "ping",
+                 "ping_at", "ready", "skipped", "slow", "slow_at", "weight")
 
     def __init__(self, entry: i.BackendEntry) -> None:
         self.id, self.entry, self.weight, self.ready = entry.backend, entry, 1.0, False
@@ -60,9 +56,6 @@
         self.fails, self.slow = 0, 0.0
         self.leaving = math.inf  # when the list said that it drains or is gone
         self.flows: dict[int, Flow] = {}
-        self.open, self.told, self.load = 0, 0, 0.0  # open connections, those whose load is told, its sum
-        self.groups: dict[int, int] = {}  # open connections a group
-        self.setup, self.setups, self.pace = 0.0, 0, 1.0  # ms of a setup, how many; speed against its weight
 
 
 class Group:
@@ -79,15 +72,16 @@
 class Flow:
     """A request from its arrival to its end, and the connection it becomes."""
 
-    __slots__ = ("attempts", "backend", "cls", "deadline", "group", "id", "load", "open", "pending",
+    __slots__ = ("asked", "attempts", "backend", "cls", "deadline", "group", "id", "open", "pending",
                  "pick", "since", "stood", "tried", "unsure")
 
     def __init__(self, e: i.Request | i.Carried, cls: i.RequestClass, group: Group, deadline: float) -> None:
         self.id, self.cls, self.group, self.deadline = e.request, cls, group, deadline
         self.pick = crc32((e.client_key or str(e.request)).encode())
         self.attempts, self.pending, self.open, self.backend, self.since = 0, False, False, -1, 0.0
-        self.stood, self.load = 0.0, -1.0  # since when it is open; its load is not told yet
+        self.stood = 0.0  # since when it is open
         self.tried: set[int] = set()
+        self.asked: dict[int, None] = {}  # backends whose answers to a probe it waits for
         self.unsure: list[tuple[Backend, float]] = []  # attempts that may have run: backend, time sent
 
 
@@ -123,20 +117,20 @@
         self.aim = min([c.message_aim for c in settings.classes if c.message_aim > 0], default=100.0)
         self.backends: dict[int, Backend] = {}
         self.rows: list[Backend] = []  # those that may be sent to
-        self.total = Backend(i.BackendEntry(-1, i.State.READY))  # open connections and loads of all together
-        self.unit, self.bound = math.inf, math.inf  # connections a weight of 1 can hold; how far to fill
+        self.unit = math.inf  # connections that a weight of 1 can hold
         self.active: dict[int, Backend] = {}  # in use since the monitor's last look
         self.groups: dict[int, Group] = {}
         self.flows: dict[int, Flow] = {}
+        self.asking: dict[int, Flow] = {}
         self.count, self.count_at, self.opened = 0.0, 0.0, 0
         self.stood, self.failed, self.calm, self.backoff = 0.0, 0.0, 0, PERIOD
         self.planned = False
         self.pump_at, self.looking, self.now, self.out = math.inf, False, 0.0, list[i.Action]()
         self.timers: dict[int, Any] = {
-            0: self._pump, 1: self._look, 2: lambda: self.out.append(i.Subscribe())}
+            0: self._pump, 1: self._look, 3: self._asked, 2: lambda: self.out.append(i.Subscribe())}
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.ListUpdate: self._on_list, i.Request: self._on_request, i.Carried: self._on_carried,
-            i.Established: self._on_established, i.DelayNote: self._on_note, i.LoadNote: self._on_load,
+            i.Established: self._on_established, i.DelayNote: self._on_note, i.LoadNote: lambda e: None,
             i.Silent: self._on_silent, i.Ended: self._on_ended, i.Gone: self._on_gone,
             i.TimerDue: lambda e: self.timers.get(e.token, lambda: None)(), i.Probed: self._on_probed}
 
@@ -225,7 +219,7 @@
         """
         seen = [(g, g.count * math.exp((g.at - self.now) / MEMORY))
                 for g in sorted(self.groups.values(), key=lambda group: group.hash)]
-        room = {b.id: self.unit * b.weight * b.pace * self._warm(b) for b in self.rows}
+        room = {b.id: self.unit * b.weight * self._warm(b) for b in self.rows}
         n = 1.0 + sum(count for _, count in seen)  # and by Good and Turing the part that was seen once
         total = n * n / (n - sum(count for _, count in seen if count <= 1.0))  # is that of groups unseen
         bound = max(SAFE, EVEN * (self.quota + GROUP * len(seen)) / max(1.0, sum(room.values())))
@@ -248,30 +242,6 @@
                 group.parts.append((1.0, b))
         self.planned = True
 
-    def _account(self, flow: Flow, b: Backend, sign: int) -> None:
-        """Count an open connection in at its backend, or out."""
-        for one in (b, self.total):
-            one.open += sign
-            if flow.load >= 0:
-                one.told += sign
-                one.load = one.load + sign * flow.load if one.told else 0.0  # floats leave a rest
-        b.groups[flow.group.hash] = b.groups.get(flow.group.hash, 0) + sign
-        if not b.groups[flow.group.hash]:
-            del b.groups[flow.group.hash]
-
-    def _fill(self, b: Backend, joining: Group | None = None, sure: float = 0.0) -> float:
-        """Load over capacity, guessed: connections and their loads are known of this balancer only.
-
-        Loads count in mean connections, so their unit does not matter, nor whether any are told.  Of what
-        the fleet holds there a balancer sees a part by chance: ``sure`` standard errors are taken off.
-        """
-        mean = self.total.load / self.total.told if self.total.load > 0.0 else 1.0
-        held = b.load / mean + b.open - b.told if self.total.load > 0.0 else float(b.open)
-        groups = len(b.groups) + (joining is not None and joining.hash not in b.groups)
-        n = self.settings.balancers
-        everywhere = n * held + (joining is not None) + GROUP * groups - sure * math.sqrt(n * (n - 1) * held)
-        return everywhere / (self.unit * b.weight * b.pace)
-
     def _warm(self, b: Backend) -> float:
         """How much of its capacity a backend has by now."""
         s, age = self.settings, max(0.0, self.now - b.entry.started)
@@ -285,23 +255,24 @@
         room = COLD_SAFETY * self.settings.fall_multiple * part * max(self.opened, 1) / max(1, len(self.rows))
         return part >= 1.0 or len(b.flows) <= room + math.sqrt(room)
 
-    def _choose(self, flow: Flow) -> Backend | None:
-        group, crowded = flow.group, list[tuple[float, int, Backend]]()
+    def _could(self, flow: Flow) -> list[Backend]:
+        """The first backends that may have it, as its group is poured and then as it ranks them."""
+        group = flow.group
         if not self.planned:
             self._plan()
         if not group.head:
             self._rank(group)
         mine = [row for row in group.parts if flow.pick <= row[0] * 2 ** 32][:1]
-        for _, backend_id in (*mine, *group.parts, *group.head):
-            b = self.backends[backend_id]
-            if not b.ready or b.down_until > self.now or b.id in flow.tried \
-                    or not self._may_repeat(flow, b) or not self._cold_room(b):
-                continue
-            fill, heat = self._fill(b, group, SURE), self._heat(b)
-            if fill <= self.bound and not heat:
-                return b
-            crowded.append((heat + fill, len(crowded), b))
-        return min(crowded)[2] if crowded else None
+        some = [b for n in dict.fromkeys(row[1] for row in (*mine, *group.parts, *group.head))
+                if (b := self.backends[n]).ready and b.down_until <= self.now and n not in flow.tried
+                and self._may_repeat(flow, b) and self._cold_room(b)]
+        return some[:ASK]
+
+    def _choose(self, flow: Flow) -> Backend | None:
+        """The first in order that is not much slower to answer than the others that have been asked."""
+        some, since = self._could(flow), self.now - NEWS
+        most = HOT * min([b.ping for b in some if b.ping_at >= since], default=0.0)
+        return next((b for b in some if b.ping_at < since or b.ping <= most), None)
 
     def _may_repeat(self, flow: Flow, b: Backend) -> bool:
         """No effect twice: after an attempt that may have run, only where its repeat is dropped."""
@@ -330,6 +301,25 @@
         if e.request not in self.flows:
             self._admit(self._make(e, self.now + e.patience), e.midflow)
 
+    def _ask(self, flow: Flow) -> bool:
+        """Have those that may get it answer a probe first: what all balancers do there shows nowhere else."""
+        wait = WAIT * flow.cls.aim
+        if self.settings.probes and self.now + wait < flow.deadline - self._margin(flow):
+            some = self._could(flow)
+            flow.asked = {b.id: None for b in some if b.ping_at < self.now - NEWS} if len(some) > 1 else {}
+            self.out += [i.Probe(n) for n in flow.asked]
+            if flow.asked:
+                flow.since, self.asking[flow.id] = self.now, flow
+                self._timer(wait, 3)
+        return bool(flow.asked)
+
+    def _asked(self) -> None:
+        """Who has not answered by now is busy indeed, or away: the setup goes on without."""
+        for flow in list(self.asking.values()):
+            if self.now >= flow.since + WAIT * flow.cls.aim - 0.01:
+                for n in list(flow.asked):
+                    self._on_probed(i.Probed(n, -1.0))
+
     def _admit(self, flow: Flow, midflow: bool = False) -> None:
         """The ordinary path: a token lets it out, else it waits, or is refused if the buffer is full."""
         throttle = self.throttle
@@ -343,6 +333,8 @@
         self._arm()
 
     def _send(self, flow: Flow) -> bool:
+        if self._ask(flow):
+            return True  # and goes out once they have answered
         b = self._choose(flow)
         if b is None:
             return False
@@ -375,8 +367,6 @@
         b = self.backends[flow.backend]
         if flow.since > b.skipped:  # one that was on its way as others broke says nothing of it now
             b.fails, b.down_until = 0, -math.inf
-        b.setups += 1
-        b.setup += max(PACE, 1.0 / b.setups) * (e.elapsed - b.setup)
         if e.elapsed > flow.cls.aim:
             b.slow_at, b.slow = self.now, 1.0
         self.stood += 1
@@ -388,14 +378,6 @@
         self.opened += 1
         self.active[flow.backend] = b = self.backends[flow.backend]
         b.flows[flow.id] = flow
-        self._account(flow, b, 1)
-
-    def _on_load(self, e: i.LoadNote) -> None:
-        flow = self.flows.get(e.request)
-        if flow is not None and flow.open and flow.backend == e.backend:
-            self._account(flow, self.backends[flow.backend], -1)
-            flow.load = max(0.0, e.load)
-            self._account(flow, self.backends[flow.backend], 1)
 
     def _on_note(self, e: i.DelayNote) -> None:
         flow = self.flows.get(e.request)
@@ -413,16 +395,16 @@
             self._thin_out(b, 1.0)
 
     def _on_probed(self, e: i.Probed) -> None:
-        if (b := self.backends.get(e.backend)) and e.elapsed >= 0.0:
-            b.ping, b.ping_at = e.elapsed * b.weight, self.now
-            self._thin_out(b, min(1.0, GAIN * self._heat(b)))
-
-    def _heat(self, b: Backend) -> float:
-        """How much more than HOT times the usual its last answer to a probe took, for its size."""
-        if self.now - b.ping_at > FRESH:
-            return 0.0
-        pings = sorted(one.ping for one in self.rows if self.now - one.ping_at <= 3 * FRESH)
-        return max(0.0, b.ping / pings[(len(pings) - 1) // 2] - HOT)
+        if b := self.backends.get(e.backend):
+            took = e.elapsed if e.elapsed >= 0.0 else self.settings.connect_timeout
+            b.ping, b.ping_at = took * b.weight, self.now
+        for flow in list(self.asking.values()):
+            flow.asked.pop(e.backend, None)
+            if not flow.asked:
+                del self.asking[flow.id]
+                if not self._send(flow):
+                    self.throttle.waiting.append(flow)
+                    self._arm()
 
     def _thin_out(self, b: Backend, part: float) -> None:
         """Move about this part of a backend's connections to where they would go now."""
@@ -447,28 +429,11 @@
                 flow.since = self.now
                 self.out.append(i.Move(flow.id))
 
-    def _level_out(self) -> None:
-        """Bound the fill of each backend: hashing alone lets a few large groups meet on one of them."""
-        used = [b for b in self.rows if b.down_until <= self.now]  # the skipped tell nothing of them
-        timed = [b for b in used if b.setups >= PACED and b.setup > 0.0]
-        usual = sum(b.setup * b.weight for b in timed) / len(timed) if timed else 0.0
-        for b in timed:  # the root: half of a difference is taken for chance
-            b.pace = min(1.4, max(0.7, math.sqrt(usual / (b.setup * b.weight))))
-        fills = [(self._fill(b), b) for b in used]
-        weights = sum(b.weight for _, b in fills)
-        mean = sum(fill * b.weight for fill, b in fills) / weights if weights else 0.0
-        self.bound = max(SAFE, EVEN * mean)
-        for _, b in fills:
-            if (fill := self._fill(b, sure=SURE)) > CROWDED * self.bound:
-                self._thin_out(b, SHED * min(1.0, fill / self.bound - 1.0))
-
     def _on_ended(self, e: i.Ended) -> None:
         flow, b = self.flows.get(e.request), self.backends.get(e.backend)
         if flow is None or b is None or not (flow.pending or flow.open) or e.attempt != flow.attempts - 1:
             return
         b.flows.pop(flow.id, None)
-        if flow.open:
-            self._account(flow, b, -1)
         was_open, flow.pending = flow.open, False
         self.opened -= was_open
         self._judge(b, e.outcome, was_open)
@@ -508,6 +473,7 @@
             flow.deadline = -math.inf  # its attempt still ends; nothing more goes out for it
         elif flow is not None:
             del self.flows[flow.id]
+            self.asking.pop(flow.id, None)
             self.throttle.waiting = [other for other in self.throttle.waiting if other is not flow]
 
     def _arm(self) -> None:
@@ -545,13 +511,8 @@
         """The monitor: how many of the backends in use are in trouble decides on the throttle and r."""
         self._timer(PERIOD, 1)
         self.planned = False
-        self._level_out()
         self._empty()
         self._fetch()
-        if self.settings.probes:
-            some = [b for b in self.rows if b.flows or self.random.random() < OTHERS]
-            if some and self.random.random() < ASKED:
-                self.out.append(i.Probe(self.random.choice(some).id))  # its time shows how busy it is
         bad = [b for b in self.active.values() if self.now - b.slow_at < SLOW_FOR]
         used = [b for b in self.active.values() if b.ready and b.down_until <= self.now]
         part = sum(b.slow for b in bad if b in used) / max(1, len(used))
