Pass over a server 1.25 times as slow as the quickest asked, not 1.6: a split group costs little

Reason: what is lost by leaving the first of the ranking is one more server that holds the group, three mean connections of the some fifty that a server holds: 6%. 1.6 waited for ten times that. The test fails with 1.6.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -32,7 +32,8 @@
 QUOTAS = 0.81  # the tenants' quotas together, as part of what the fleet can hold
 GROUP = 3.0  # what a group costs a backend that holds any of it, in mean connections
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is a guess
-ASK, HOT = 3, 1.6  # backends asked before a setup; times as slow as the quickest: passed over
+ASK, HOT = 3, 1.25  # backends asked before a setup; times as slow as the quickest: passed over. One answer
+# varies by a fifth; a group on one backend more costs GROUP of some fifty connections, far less than that
 WAIT, NEWS = 0.15, 1000.0  # of its aim that a setup waits for them; ms that an answer is news
 LEAVE = 2000.0  # ms over which the clients of a backend that leaves are moved
 UNRUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.UNSENT)  # outcomes that prove it never ran
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -361,12 +361,12 @@
     return [action.backend for action in actions if isinstance(action, i.Probe)]
 
 
-def test_setup_passes_over_a_backend_that_answers_much_slower_than_the_next() -> None:
+def test_setup_passes_over_a_backend_that_answers_slower_than_the_next() -> None:
     """A balancer with a connection or two on each backend cannot see what two hundred do there."""
     bench = Bench(backends=9, balancers=200, probes=True, tenants=(i.Tenant("t", 450.0),))
     first, second, third = asked(bench, 1)
-    assert not sends(bench.put(i.Probed(first, 10.0)) + bench.put(i.Probed(third, 2.0)))
-    (send,) = sends(bench.put(i.Probed(second, 3.0)))
+    assert not sends(bench.put(i.Probed(first, 2.7)) + bench.put(i.Probed(third, 2.0)))
+    (send,) = sends(bench.put(i.Probed(second, 2.4)))
     assert send.backend == second, "the first in order of those not much slower than the quickest"
     (again,) = sends(bench.ask(2, "g"))
     assert again.backend == second, "what was heard a moment ago is not asked again"
