Test that a fleet keeps to a cold server's budget and leaves a silent one, none at once again

Need: what 200 balancers do together is only seen in play; these tests sum up 1, 10, 40 and 200 `Balancer` objects on one driven clock: all have just restarted and every client comes again within 1.5 s; the one cold server of 27 is used and is not sent more than three times what fills it over its warm-up. A silent server is left by all that hold clients there, and their waits until they try it again are spread over 0.2 s and more.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -99,7 +99,9 @@
         actions = bench.put(i.Request(self.last, "feed", 1000.0, client, group))
         for action in actions:  # grows as probes are answered
             if isinstance(action, i.Probe):
-                actions += bench.put(i.Probed(action.backend, 2.0 + 0.01 * self.loads[action.backend] ** 2))
+                asked = bench.balancer.backends[action.backend]
+                busy = self.loads[asked.id] / bench.balancer._warm(asked)
+                actions += bench.put(i.Probed(asked.id, 2.0 + 0.01 * busy ** 2))
             elif isinstance(action, i.Send):
                 bench.stand(action)
                 self.standing[group, client] = bench, action
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -40,3 +40,38 @@
     mean = sum(played(balancers, probes=False).loads.values()) / BACKENDS
     assert max(played(balancers, probes=False).loads.values()) > 2.5 * mean or balancers == 2
     assert max(played(balancers, probes=True).loads.values()) < 2.0 * mean
+
+
+@pytest.mark.parametrize("balancers", [1, 10, 40, 200])
+def test_cold_backend_is_used_and_not_pushed_over_when_all_come_at_once(balancers: int) -> None:
+    """All balancers have just restarted and know nothing; every client comes again within 1.5 s.
+
+    The budget of the rule is read as a multiple of what fills a server over its warm-up.
+    """
+    warm, clients, cold = 26, 700, 99
+    fleet = Fleet(balancers, ready(*range(1, warm + 1)) + ready(cold, started=1000.0), probes=True,
+                  tenants=(i.Tenant("t", 1.8 * clients),), cold_time=8800.0, cold_from=0.3, fall_multiple=3.0,
+                  overload_for=3000.0)
+    names = [(f"g{rank}", f"c{n}") for rank in range(1, 41) for n in range(round(0.23 * clients / rank))]
+    for group, client in fleet.random.sample(names, len(names)):
+        fleet.now += 1500.0 / len(names)
+        fleet.come(group, client)
+    capacity = 1.8 * clients / 0.81 / (warm + 1)
+    budget = 3.0 * 3000.0 * 0.42 * capacity / 8800.0  # 0.42: what it can take in the middle of 3 s
+    assert 0.1 * len(names) / warm < fleet.loads[cold] <= budget
+
+
+@pytest.mark.parametrize("balancers", [1, 40, 200])
+def test_silent_backend_is_left_by_all_and_not_tried_again_by_all_at_once(balancers: int) -> None:
+    fleet = played(balancers, probes=True)
+    silent = max(fleet.loads, key=lambda backend: fleet.loads[backend])
+    holders = [bench for bench in fleet.benches if bench.balancer.backends[silent].flows]
+    tried = []
+    for bench in holders:
+        bench.run(fleet.now + 3000.0)
+        bench.actions.clear()
+        held = {flow.id for flow in bench.balancer.backends[silent].flows.values() if flow.open}
+        bench.put(i.Silent(silent))
+        assert {move.request for move in bench.all(i.Move)} == held
+        tried.append(bench.balancer.backends[silent].down_until - bench.now)
+    assert min(tried) >= 0.5 * 250.0 and (len(tried) < 10 or max(tried) - min(tried) >= 200.0)
