--- a/snowwick/lab/workload.py
+++ b/snowwick/lab/workload.py
@@ -36,7 +36,8 @@
 
     LOAD = "load"  # the member writes the load register ``number`` (0 to facts.CHUNKS - 1)
     CHANGE = "change"  # the member writes change of configuration ``number``
-    VERDICT = "verdict"  # the member finds destination ``number`` bad; it stands for facts.SAID
+    VERDICT = "verdict"  # the member finds destination ``number`` bad
+    TAKEN_BACK = "taken-back"  # and takes that back, facts.SAID later
     RIGHTS = "rights"  # the member asks ``other`` for rights, which grants them
     FAIL = "fail"  # the member's machine is gone at once
     LEAVE = "leave"  # the member leaves as at a restart
@@ -67,42 +68,61 @@
     end: float
 
 
+def says(what: str) -> dict[str, str]:
+    """What the command line says of a field."""
+    return {"what": what}
+
+
 @dataclass(slots=True, frozen=True)
 class Workload:
     """What is played.  Figures without a target are assumptions, said with each."""
 
     members: int
-    seconds: float = 60.0  # s of the ordinary day's part
+    seconds: float = field(default=60.0, metadata=says("s of the ordinary day's part"))
     seed: int = 1
-    period: float = 0.2  # s of the protocol's period, as shipped
-    faults: Faults = "all"  # restarts: with failures and restarts, all: with the zone and the cut as well
-    regions: int = 2  # target
-    zones: int = 5  # target; zone z is in region z % regions, member n in zone n % zones
-    idle_s: float = 5.0  # s at the start without any writing
-    changes_per_day: float = 26_000.0  # target, of the whole fleet at any size: 0.30 a second
-    change_bytes: int = 200  # assumed: bytes of a change's value, of at most 900
-    change_keys: int = 16  # assumed: registers of a member that changes take in turn
-    burst_factor: float = 10.0  # target: times the ordinary rate of changes
-    burst_s: float = 10.0  # assumed: s that the burst lasts
-    failures_per_day: float = 36.0  # target, of TARGET members
-    failure_s: float = 20.0  # assumed: s until a failed machine is back
-    restarts_per_day: float = 2_800.0  # target, of TARGET members: one each 31 s
-    restart_s: float = 2.0  # assumed: s between leaving and starting anew
-    load_writes: float = 1.0  # assumed: load registers that each member writes a second, in turn
-    load_destinations: int = 48  # assumed: destinations a member has, over facts.CHUNKS registers
-    load_count: int = 100  # assumed: connections of a member to one destination
-    load_wave: float = 0.3  # assumed: part by which all loads rise and fall together, once in wave_s
-    wave_s: float = 60.0  # assumed
-    verdicts: float = 0.1  # assumed: verdicts a second of the whole fleet at any size
-    rights: float = 0.1  # assumed: moves of rights a second of the whole fleet at any size
-    zone_lost_s: float = 20.0  # assumed: s that the lost zone is away
-    zone_back_s: float = 20.0  # assumed: s watched after it is back
-    region_cut_s: float = 60.0  # target
-    heal_s: float = 20.0  # assumed: s watched after the regions hear each other again
-    drain_s: float = 15.0  # s at most in which the last changes may still get everywhere
-    loss: float = 0.01  # assumed: part of the datagrams that is lost
-    delay_s: float = 0.005  # assumed: s of the longest delay within a region; the least is a tenth
-    region_delay_s: float = 0.03  # assumed: s beside that between regions
+    period: float = field(default=0.2, metadata=says("s of the protocol's period, as shipped"))
+    faults: Faults = field(default="all", metadata=says(
+        "restarts: with failures and restarts, all: with the zone and the cut as well"))
+    regions: int = field(default=2, metadata=says("target"))
+    zones: int = field(default=5, metadata=says(
+        "target; zone z is in region z % regions, member n in zone n % zones"))
+    idle_s: float = field(default=5.0, metadata=says("s at the start without any writing"))
+    changes_per_day: float = field(default=26_000.0, metadata=says(
+        "target, of the whole fleet at any size: 0.30 a second"))
+    change_bytes: int = field(default=200, metadata=says(
+        "assumed: bytes of a change's value, of at most 900"))
+    change_keys: int = field(default=16, metadata=says(
+        "assumed: registers of a member that changes take in turn"))
+    burst_factor: float = field(default=10.0, metadata=says("target: times the ordinary rate of changes"))
+    burst_s: float = field(default=10.0, metadata=says("assumed: s that the burst lasts"))
+    failures_per_day: float = field(default=36.0, metadata=says("target, of TARGET members"))
+    failure_s: float = field(default=20.0, metadata=says("assumed: s until a failed machine is back"))
+    restarts_per_day: float = field(default=2_800.0, metadata=says(
+        "target, of TARGET members: one each 31 s"))
+    restart_s: float = field(default=2.0, metadata=says("assumed: s between leaving and starting anew"))
+    load_writes: float = field(default=1.0, metadata=says(
+        "assumed: load registers that each member writes a second, in turn"))
+    load_destinations: int = field(default=48, metadata=says(
+        "assumed: destinations a member has, over facts.CHUNKS registers"))
+    load_count: int = field(default=100, metadata=says("assumed: connections of a member to one destination"))
+    load_wave: float = field(default=0.3, metadata=says(
+        "assumed: part by which all loads rise and fall together, once in wave_s"))
+    wave_s: float = field(default=60.0, metadata=says("assumed"))
+    verdicts: float = field(default=0.1, metadata=says(
+        "assumed: verdicts a second of the whole fleet at any size"))
+    rights: float = field(default=0.1, metadata=says(
+        "assumed: moves of rights a second of the whole fleet at any size"))
+    zone_lost_s: float = field(default=20.0, metadata=says("assumed: s that the lost zone is away"))
+    zone_back_s: float = field(default=20.0, metadata=says("assumed: s watched after it is back"))
+    region_cut_s: float = field(default=60.0, metadata=says("target"))
+    heal_s: float = field(default=20.0, metadata=says(
+        "assumed: s watched after the regions hear each other again"))
+    drain_s: float = field(default=15.0, metadata=says(
+        "s at most in which the last changes may still get everywhere"))
+    loss: float = field(default=0.01, metadata=says("assumed: part of the datagrams that is lost"))
+    delay_s: float = field(default=0.005, metadata=says(
+        "assumed: s of the longest delay within a region; the least is a tenth"))
+    region_delay_s: float = field(default=0.03, metadata=says("assumed: s beside that between regions"))
 
     def zone_of(self, member: int) -> int:
         return member % self.zones
@@ -182,7 +202,8 @@
         # A step that reaches into the burst is cut short where the burst begins.
         at = burst.start + (after - burst.start) / w.burst_factor if at < burst.start < after else after
     for at in _times(rng, w.verdicts, steady.start, end):
-        events.append(Event(at, Kind.VERDICT, rng.randrange(w.members), rng.randrange(w.load_destinations)))
+        one, bad = rng.randrange(w.members), rng.randrange(w.load_destinations)
+        events += [Event(at, Kind.VERDICT, one, bad), Event(at + facts.SAID, Kind.TAKEN_BACK, one, bad)]
     for at in _times(rng, w.rights if w.members > 1 else 0.0, steady.start, end):
         one, other = rng.sample(range(w.members), 2)
         events.append(Event(at, Kind.RIGHTS, one, 0, other))
@@ -194,7 +215,7 @@
         events += [Event(zone.start, Kind.ZONE_LOST, 0, lost),
                    Event(zone.start + w.zone_lost_s, Kind.ZONE_BACK, 0, lost),
                    Event(cut.start, Kind.CUT), Event(cut.start + w.region_cut_s, Kind.HEAL)]
-    return sorted(events, key=lambda one: one.at)
+    return sorted((one for one in events if one.at < end), key=lambda one: one.at)
 
 
 def _away(w: Workload, rng: random.Random, steady: Phase) -> list[Event]:
@@ -319,8 +340,10 @@
     changes: int  # that were written, and whose writers stayed
     changes_unfinished: int  # of these, not everywhere at the end: counted with the time until then
     false_deaths: int
-    load_age_p50_s: float | None
+    load_age_p50_s: float | None  # since the load that is held was written
     load_age_p99_s: float | None
+    load_late_p50_s: float | None  # since the first load was written that is not held yet; 0 where none is
+    load_late_p99_s: float | None
     load_error: float | None
     shed: float
     # From the end of the fault until all know who is there and have the changes that were written in it
@@ -331,7 +354,8 @@
     """One size; what is not in ``burst``, ``zone_lost`` or ``region_cut`` is the steady phase's.
 
     ``played_s`` are the simulated s, ``took_s`` those it took.  ``start_bytes`` and ``start_s`` are the means
-    of those that started in the steady phase: bytes received, and s until one agreed with another member.
+    of those that started in the steady phase: bytes received, and s until one knew all that ran when it
+    started and held all that they had written by then.  ``memory`` is bytes of a member's state.
     """
 
     members: int
@@ -343,13 +367,15 @@
     idle_core: float
     start_bytes: float | None
     start_s: float | None
-    starts: int
+    starts: int  # that had caught up
+    start_said_s: float | None  # until the program's own word for it, fleet-caught-up
+    partial: NotRequired[bool]  # the run was ended before its last phase, or goes on
     burst: NotRequired[Measures]
     zone_lost: NotRequired[Measures]
     region_cut: NotRequired[Measures]
 
 
-class Machine(TypedDict):
+class Host(TypedDict):
     """Where it ran."""
 
     cores: int
@@ -363,15 +389,12 @@
     form: Literal["simulated", "real"]
     command: str
     date: str
-    machine: Machine
+    machine: Host
     workload: dict[str, object]
     rows: list[Row]
     complete: bool
     ended: str
 
 
-@dataclass(slots=True)
 class Refused(Exception):
-    """The run would not fit; ``fits`` says what would, in one line."""
-
-    fits: str = field(default="")
+    """The run would not fit; the message says in one line what would."""
