--- a/snowwick/lab/workload.py
+++ b/snowwick/lab/workload.py
@@ -345,6 +345,7 @@
     load_late_p50_s: float | None  # since the first load was written that is not held yet; 0 where none is
     load_late_p99_s: float | None
     load_error: float | None
+    heed_core: float | None  # beside ``core``: reading all registers each SHARE, as the program does
     shed: float
     # From the end of the fault until all know who is there and have the changes that were written in it
     healed_s: NotRequired[float | None]
@@ -368,6 +369,8 @@
     start_bytes: float | None
     start_s: float | None
     starts: int  # that had caught up
+    starts_unfinished: int
+    false_deaths_all: int  # of all phases and the time to drain
     start_said_s: float | None  # until the program's own word for it, fleet-caught-up
     partial: NotRequired[bool]  # the run was ended before its last phase, or goes on
     burst: NotRequired[Measures]
