--- a/snowwick/lab/scale.py
+++ b/snowwick/lab/scale.py
@@ -200,7 +200,7 @@
     for one in fields(Workload):
         if one.name == "members":
             continue
-        what = f"{one.metadata.get('what', '')} (default {one.default})".strip()
+        what = f"{one.metadata.get('what', '')} (default {one.default})".strip().replace("%", "%%")
         parser.add_argument("--" + one.name.replace("_", "-"), type=type(one.default), metavar="X",
                             choices=["none", "restarts", "all"] if one.name == "faults" else None, help=what)
     given = parser.parse_args(arguments)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -309,6 +309,16 @@
             assert getattr(w, one.name) == 3 and w.members == 9
 
 
+def test_the_help_says_of_each_figure_what_it_is(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as ended:
+        scale.main(["--help"])
+    text = " ".join(capsys.readouterr().out.split())
+    assert ended.value.code == 0
+    for one in fields(Workload):
+        what = f"{one.metadata.get('what', '')} (default {one.default})".strip()
+        assert one.name == "members" or what in text
+
+
 def gone(pid: int) -> bool:
     try:
         os.kill(pid, 0)
