--- a/snowwick/lab/scale_simulated.py
+++ b/snowwick/lab/scale_simulated.py
@@ -65,10 +65,10 @@
 TOLD = 5.0  # s between lines of progress and partial rows
 LONGEST = 36_000_000  # tenths of a ms that a histogram holds: an hour
 # What a run takes, measured with the default loads: bytes of a process, a member, a member that one knows
-PROCESS, MEMBER, KNOWN = 60e6, 100e3, 4e3
+PROCESS, MEMBER, KNOWN = 60e6, 150e3, 4.5e3
 # s until a run begins; s a simulated s and member, and for each that it knows; the part of that when idle;
 # s for each pair that is joined
-BEGINS, EACH, EACH_KNOWN, IDLE, JOINS = 1.0, 4e-3, 4.5e-4, 0.2, 4e-5
+BEGINS, EACH, EACH_KNOWN, IDLE, JOINS = 1.0, 4e-3, 4.5e-4, 0.2, 8e-5
 
 
 # -- pure parts ----------------------------------------------------------------------------------------------
