--- a/snowwick/lab/scale_simulated.py
+++ b/snowwick/lab/scale_simulated.py
@@ -366,6 +366,8 @@
         lacking = {other: (owner.epoch, owner.complete) for other in self.ran_since
                    for owner in (self.machines[other].node.store.owners[other],)
                    if not self.cut(name, other)}
+        # The dead core goes now, as the collector is off: its handlers are bound to itself.
+        self.machines[name].node.handlers.clear()
         self.add(name)
         self.ran_since[name] = self.now
         self.starting.append(Starting(name, self.now, lacking, self.log))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import os
 import re
@@ -15,6 +16,7 @@
 import pytest
 
 from snowwick.fleet import facts, wire
+from snowwick.fleet.node import Node
 from snowwick.lab import scale, scale_simulated
 from snowwick.lab.network import Network
 from snowwick.lab.scale_simulated import Deaths, Played, Times, joined, longest_suspicion, play
@@ -160,6 +162,23 @@
     assert longest_suspicion(6, 0.2) == 3.0 < longest_suspicion(5700, 0.2)
 
 
+def test_a_core_whose_start_is_over_leaves_no_memory_behind() -> None:
+    fleet = a_fleet()
+    fleet.run(3.0)
+    gc.collect()
+    gc.disable()
+    try:
+        before = sum(isinstance(one, Node) for one in gc.get_objects())
+        fleet.gone("m3")
+        fleet.run(6.0)
+        fleet.comes("m3")
+        fleet.run(9.0)
+        assert sum(isinstance(one, Node) for one in gc.get_objects()) == before
+    finally:
+        gc.enable()
+    assert fleet.agree() and not fleet.deaths.false
+
+
 # -- a fleet that starts joined --------------------------------------------------------------------------
 
 
