--- /dev/null
+++ b/snowwick/lab/capacity_model.py
@@ -0,0 +1,498 @@
+"""The capacity model: what a balancer costs at the size of the target, from slopes that were measured.
+
+Pure: no I/O, no clock, no chance.  Each quantity has one form, named in ``FORMS`` with its reason before
+anything is fitted.  The largest size is left out of a first fit, which has to predict it (``LeftOut``); the
+figures at the target come from a second fit of the same form over all sizes.  Quantities are in the units
+of ``FORMS``: bytes (1 KB is 1,000), s, and parts of a core of the machine that measured them.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from snowwick.fleet import members, node, store, wire
+
+Row = Mapping[str, Any]
+
+LEAST_SIZES, LEAST_FACTOR = 4, 16.0  # of a fit: sizes, and the largest over the smallest
+WITHIN = 0.15  # relative error of the size that was left out
+FULL = 0.8  # of the room of the frames sent, from which on the frames count as full
+
+BASIS: dict[str, Callable[[float], float]] = {
+    "1": lambda n: 1.0,
+    "log2 N": lambda n: math.log2(max(2.0, n)),
+    "N": lambda n: n,
+    "N log2 N": lambda n: n * math.log2(max(2.0, n)),
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Assumption:
+    """A figure that no run of ours gives; ``reason`` says where it is from."""
+
+    name: str
+    value: float
+    unit: str
+    reason: str
+
+
+TARGET = {one.name: one for one in (
+    Assumption("balancers", 5_700, "", "the target"),
+    Assumption("connections", 530e6, "", "the target"),
+    Assumption("shards", 840_000, "", "the target: shards of topics"),
+    Assumption("listeners", 350_000, "", "the target: of the largest topic"),
+    Assumption("deliveries", 36e6, "/s", "the target"),
+    Assumption("delivered within", 0.39, "s", "the target: 99 in 100 deliveries"),
+    Assumption("regions", 2, "", "the target"),
+    Assumption("zones", 5, "", "the target: of both regions, as one zone is a fifth of the balancers"),
+    Assumption("changes of configuration", 26_000, "/day", "the target"),
+    Assumption("in force everywhere", 8.0, "s", "the target"),
+    Assumption("control core", 0.028, "core", "the target: of a balancer, for control"),
+    Assumption("control memory", 32e6, "bytes", "the target: of a balancer, for control"),
+    Assumption("control bytes", 21e3, "bytes/s", "the target: of a balancer, for control; read as a bound on "
+               "what goes out and another on what comes in"),
+    Assumption("control machines", 5, "", "the target"),
+    Assumption("failures", 36, "/day", "the target: machines on an ordinary day"),
+    Assumption("restarts", 2_800, "/day", "the target: restarted or replaced"),
+    Assumption("connections that come back", 106e6, "", "the target: a zone lost"),
+)}
+
+ASSUMPTIONS = {one.name: one for one in (
+    Assumption("cores of the data path", 1.0, "core", "the program is one loop on one thread; a machine may "
+               "run several, each a balancer of its own"),
+    Assumption("bytes a member's news", 48.0, "bytes", "a `wire.Member` in msgpack, names of 13 "
+               "characters"),
+    Assumption("bytes an entry", 75.0, "bytes", "a load register of 12 destinations in msgpack; 67 where no "
+               "count is over 127, 79 where all are"),
+    Assumption("register writes of a member", 1.0, "/s", "loads, as the simulated workload writes them"),
+    Assumption("bytes a shard's place", 16.0, "bytes", "id and index in a flat table; what Python objects "
+               "would take is some ten times that"),
+    Assumption("processor a shard's score", 2e-6, "s", "one keyed 64-bit hash and a comparison in Python; to "
+               "be measured when it is built"),
+    Assumption("members of a cell", 57.0, "", "a twentieth of a zone; for the estimates of the roles, the "
+               "options compare several"),
+    Assumption("listeners of a shard at a balancer", 4.0, "", "36 million deliveries a second say nothing of "
+               "how listeners cluster; it sets how many frames between balancers a delivery costs"),
+    Assumption("bytes a delivery between balancers", 300.0, "bytes", "a line of 200 bytes, a frame's "
+               "head"),
+    Assumption("processor a frame in or out", 50e-6, "s", "sealing, msgpack and the system call, as "
+               "`snowwick/fleet` has them; to be measured when it is built"),
+    Assumption("bytes a change of configuration", 2_000.0, "bytes", "a team's contract; a whole file is sent "
+               "by digest and in pieces"),
+    Assumption("bytes a sum", 900.0, "bytes", "the room of one register (`store.VALUE`)"),
+    Assumption("s between sums", 1.0, "s", "a load that is a second old is within the age that is stated"),
+    Assumption("sums a member hears", 5.0, "", "one a zone, whatever the number of cells: delegates add "
+               "up those of their zone"),
+    Assumption("processor a held call at discovery", 0.010, "s", "8 to 12 ms, docs/fleet.md: of the "
+               "platform's discovery, not of ours"),
+    Assumption("processor a new watch at discovery", 0.129, "s", "docs/fleet.md, the same"),
+    Assumption("held calls a second a balancer", 1.0, "/s", "`net/pool.py`, WATCH"),
+)}
+
+
+def target(name: str) -> float:
+    return TARGET[name].value
+
+
+def assumed(name: str) -> float:
+    return ASSUMPTIONS[name].value
+
+
+# -- forms and fits ------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Form:
+    """How a quantity grows with the members, by what the mechanism does; ``full`` once frames are full.
+
+    Whether they are is read from the sizes of the fit alone.
+    """
+
+    quantity: str
+    title: str
+    unit: str
+    basis: tuple[str, ...]
+    reason: str
+    full: tuple[str, ...] | None = None
+
+
+FORMS = {one.quantity: one for one in (
+    Form("bytes_out", "control bytes out", "bytes/s", ("1", "N", "N log2 N"),
+         "probes and roots are a fixed number a period (1); a range's hash for each eight owners is sent "
+         "where roots differ (N); each of N writers' changes is told 3 log2 N times by each that hears of it "
+         "(N log2 N). Full frames end the last: the frames are then as many as comparison takes (1, log2 N), "
+         "and only the hashes grow (N)",
+         full=("1", "log2 N", "N")),
+    Form("bytes_in", "control bytes in", "bytes/s", ("1", "N", "N log2 N"),
+         "what all send is what all are sent, less what links lose", full=("1", "log2 N", "N")),
+    Form("datagrams_out", "datagrams out", "/s", ("1", "log2 N"),
+         "a probe, its answer, two with news and a comparison a period, whatever the size; further steps of "
+         "comparison where members differ, which lasts as long as news takes to spread"),
+    Form("datagrams_in", "datagrams in", "/s", ("1", "log2 N"), "as out"),
+    Form("core", "processor of the protocol", "core", ("1", "N", "N log2 N"),
+         "frames a period are fixed (1); roots and ranges are summed over all owners (N); what waits to be "
+         f"passed on is sorted for each frame (N log2 N, up to {node.MOST_RUMOURS}). Once frames are full 1, "
+         "log2 N and N are left", full=("1", "log2 N", "N")),
+    Form("heed_core", "processor of reading the registers", "core", ("1", "N"),
+         "all registers are read at each look, four times a second, by kinds"),
+    Form("control_core", "control processor", "core", ("1", "N", "N log2 N"),
+         "the protocol's and that of reading the registers, added up a size", full=("1", "log2 N", "N")),
+    Form("memory", "control memory", "bytes", ("1", "N"),
+         "a copy of each owner's registers, its record and its window of numbers"),
+    Form("idle_bytes_out", "bytes out when nothing changes", "bytes/s", ("1", "log2 N"),
+         "probes, answers and one root a period"),
+    Form("idle_core", "processor when nothing changes", "core", ("1", "N"),
+         "the root over all owners, twice a period"),
+    Form("everywhere_p50_s", "a change everywhere, half", "s", ("1", "log2 N", "N"),
+         "rounds of spreading (log2 N); where frames are full what is left is found by comparison, eight "
+         "owners at a time (N)"),
+    Form("everywhere_p99_s", "a change everywhere, 99 in 100", "s", ("1", "log2 N", "N"), "as the half"),
+    Form("everywhere_worst_s", "a change everywhere, the slowest", "s", ("1", "log2 N", "N"), "as the half"),
+    Form("start_bytes", "bytes of a start", "bytes", ("1", "N"), "a copy of each owner's registers"),
+    Form("start_s", "s until caught up", "s", ("1", "N"),
+         "pieces are asked for one at a time, eight owners at once"),
+    Form("load_age_p99_s", "age of a load that is held, 99 in 100", "s", ("1", "log2 N", "N"),
+         "as a change everywhere, beside the time between two of a writer"),
+    Form("load_late_p99_s", "a load that is not held yet is late by, 99 in 100", "s", ("1", "log2 N", "N"),
+         "as a change everywhere"),
+)}
+
+
+@dataclass(slots=True, frozen=True)
+class Fit:
+    """Coefficients of a basis, at least 0 each."""
+
+    basis: tuple[str, ...]
+    coefficients: tuple[float, ...]
+    sizes: tuple[float, ...]
+
+    def at(self, n: float) -> float:
+        return sum(c * BASIS[name](n) for name, c in zip(self.basis, self.coefficients, strict=True))
+
+    def slopes(self, n: float) -> str:
+        """The coefficients of what counts at that size, a thousandth of the whole at least."""
+        some = [f"{c:.3g} {'' if name == '1' else name}".strip()
+                for name, c in zip(self.basis, self.coefficients, strict=True)
+                if c * BASIS[name](n) > 1e-3 * self.at(n)]
+        return " + ".join(some) or "0"
+
+
+def fit(sizes: Sequence[float], values: Sequence[float], basis: Sequence[str]) -> Fit:
+    """Non-negative least squares of the relative errors.
+
+    Exact: of all parts of the basis whose plain least squares have no negative coefficient, the best; the
+    optimum is one of those, as its positive coefficients solve their own normal equations.
+    """
+    x = np.array([[BASIS[name](n) for name in basis] for n in sizes], dtype=np.float64)
+    y = np.array(values, dtype=np.float64)
+    best = tuple(0.0 for _ in basis)
+    if not y.any():
+        return Fit(tuple(basis), best, tuple(sizes))
+    weight = 1.0 / np.maximum(np.abs(y), np.min(np.abs(y[y != 0.0])))  # a nought weighs as the smallest
+    least = float(np.sum((y * weight) ** 2))
+    for size in range(1, len(basis) + 1):
+        for part in itertools.combinations(range(len(basis)), size):
+            columns = x[:, part] * weight[:, None]
+            norm = np.linalg.norm(columns, axis=0)
+            found = np.linalg.lstsq(columns / norm, y * weight, rcond=None)[0] / norm
+            rest = float(np.sum((columns @ found - y * weight) ** 2))
+            if float(np.min(found)) >= 0.0 and rest < least * (1.0 - 1e-9):
+                least = rest
+                row = [0.0] * len(basis)
+                for at, value in zip(part, found, strict=True):
+                    row[at] = float(value)
+                best = tuple(row)
+    return Fit(tuple(basis), best, tuple(sizes))
+
+
+def enough(sizes: Sequence[float]) -> bool:
+    return len(sizes) >= LEAST_SIZES and max(sizes) >= LEAST_FACTOR * min(sizes)
+
+
+def of(row: Row, quantity: str) -> float | None:
+    """A finite number of a row; ``zone_lost.core`` is the core of the part ``zone_lost``."""
+    part, _, name = quantity.rpartition(".")
+    inner = row.get(part) if part else row
+    value = inner.get(name) if isinstance(inner, Mapping) else None
+    return float(value) if isinstance(value, int | float) and math.isfinite(value) else None
+
+
+def series(rows: Sequence[Row], quantity: str, size: str = "members") -> tuple[list[float], list[float]]:
+    """Sizes and values of the rows that have the quantity, by size."""
+    some = sorted((float(row[size]), value) for row in rows if (value := of(row, quantity)) is not None)
+    return [one for one, _ in some], [one for _, one in some]
+
+
+def is_full(row: Row, part: str = "") -> bool:
+    """Are the frames that were sent full?"""
+    sent, frames = of(row, f"{part}bytes_out"), of(row, f"{part}datagrams_out")
+    return bool(sent and frames) and (sent or 0.0) >= FULL * wire.MOST * (frames or 0.0)
+
+
+def regime(form: Form, quantity: str, rows: Sequence[Row]) -> tuple[tuple[str, ...], Sequence[Row]]:
+    """The basis and the rows to fit, by whether frames are full at the largest of these sizes.
+
+    Where they are, the sizes at which they are not obey another law: they are left out where the others are
+    enough for a fit.
+    """
+    part = quantity.rpartition(".")[0]
+    part = f"{part}." if part else ""
+    last = max(rows, key=lambda row: float(row.get("members", 0.0)), default=None)
+    if form.full is None or last is None or not is_full(last, part):
+        return form.basis, rows
+    some = [row for row in rows if is_full(row, part)]
+    return form.full, some if enough(series(some, quantity)[0]) else rows
+
+
+@dataclass(slots=True, frozen=True)
+class LeftOut:
+    """What the fit of the smaller sizes says of the largest, and what was measured there."""
+
+    fit: Fit
+    size: float
+    predicted: float
+    measured: float
+
+    @property
+    def error(self) -> float:
+        """Relative, signed."""
+        if self.measured == 0.0:
+            return 0.0 if abs(self.predicted) < 1e-12 else math.inf
+        return self.predicted / self.measured - 1.0
+
+    @property
+    def held(self) -> bool:
+        return abs(self.error) <= WITHIN
+
+
+def form_of(quantity: str) -> Form:
+    """A part of the run grows by the same law as the ordinary day."""
+    return FORMS[quantity.rpartition(".")[2]]
+
+
+def whole(form: Form, rows: Sequence[Row], quantity: str = "", size: str = "members") -> Fit | None:
+    """The fit over all these sizes; None where they are too few or too near each other."""
+    quantity = quantity or form.quantity
+    if not enough(series(rows, quantity, size)[0]):
+        return None
+    basis, some = regime(form, quantity, rows)
+    return fit(*series(some, quantity, size), basis)
+
+
+def left_out(form: Form, rows: Sequence[Row], quantity: str = "", size: str = "members") -> LeftOut | None:
+    """The largest size by the fit of all smaller ones; None where those are not enough for one."""
+    quantity = quantity or form.quantity
+    sizes, values = series(rows, quantity, size)
+    smaller = [row for row in rows if sizes and float(row[size]) < sizes[-1]]
+    one = whole(form, smaller, quantity, size)
+    return LeftOut(one, sizes[-1], one.at(sizes[-1]), values[-1]) if one is not None else None
+
+
+PATH_FORMS = {one.quantity: one for one in (
+    Form("memory", "memory with standing connections", "bytes", ("1", "N"),
+         "the program itself, and each connection's objects and buffers; N is connections"),
+    Form("line_s", "processor a line", "s", ("1", "log2 N"),
+         "a fixed number of turns and calls; what is touched more rarely leaves the caches, by levels"),
+    Form("setup_s", "processor a setup", "s", ("1", "log2 N"), "as a line"),
+)}
+
+
+# -- what was measured ---------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Measured:
+    """The committed files by form, each file's ``rows`` put together; empty where there is none."""
+
+    simulated: Sequence[Row] = ()
+    real: Sequence[Row] = ()
+    data_path: Sequence[Row] = ()
+    runs: Sequence[tuple[str, Mapping[str, Any]]] = ()  # (file's name, the file), for what each was run by
+
+
+def control(row: Row) -> Row:
+    """The row with ``control_core`` in each part that has what it is of."""
+    found = {name: control(part) if isinstance(part, Mapping) else part for name, part in row.items()}
+    core, heed = of(row, "core"), of(row, "heed_core")
+    return {**found, "control_core": core + heed} if core is not None and heed is not None else found
+
+
+def merge(files: Sequence[tuple[str, Mapping[str, Any]]]) -> Measured:
+    """Rows by form and size; a later name goes over an earlier one.  Raises ValueError.
+
+    Rows marked ``partial``, of sizes that were not played to their end, are left out.
+    """
+    rows: dict[str, dict[float, Row]] = {"simulated": {}, "real": {}, "data-path": {}}
+    runs = sorted(files, key=lambda one: one[0].removesuffix(".json"))  # simulated before simulated-2
+    for name, file in runs:
+        form = file.get("form")
+        if form not in rows:
+            raise ValueError(f"{name}: form: {form!r} is none of {', '.join(rows)}")
+        key = "connections" if form == "data-path" else "members"
+        for row in file.get("rows", ()):
+            if not isinstance(row, Mapping) or not isinstance(row.get(key), int | float):
+                raise ValueError(f"{name}: a row without {key}")
+            if not row.get("partial"):
+                rows[form][float(row[key])] = control(row)
+    found = [[one for _, one in sorted(rows[form].items())] for form in ("simulated", "real", "data-path")]
+    return Measured(found[0], found[1], found[2], runs)
+
+
+# -- what the shipped code bounds ----------------------------------------------------------------------------
+
+
+def ranges_bytes(n: int) -> int:
+    """Bytes of the frame with the hashes of the ranges at so many owners, names as on the platform."""
+    count = 1 << max(0, math.ceil(math.log2(max(1, n / store.OWNERS_A_RANGE))))
+    hashes = [(1 << 63) + 1] * count
+    frame = wire.Frame("balancer-0000", "10.0.0.1:7946", 1_700_000_000_000, 1 << 62, 1 << 20, "balancer-0001",
+                       1 << 62, wire.Ranges(hashes))
+    return 1 + wire.DIGEST + wire.size(frame)
+
+
+def told(n: float) -> float:
+    """How often each that hears of a change passes it on, and so about how often each hears of it."""
+    return members.FANOUT * math.log2(max(2.0, n))
+
+
+def demand(n: float, writes: float, size: float) -> float:
+    """Bytes a second that a member has to send so that all of its N members' writes are told in full.
+
+    ``writes`` are of each member a second, ``size`` bytes each.  What frames have no room for waits, and is
+    shed.
+    """
+    return n * writes * size * told(n)
+
+
+# -- how figures are written ---------------------------------------------------------------------------------
+
+NOT_MEASURED = "not measured"
+NOT_FITTED = "not fitted"
+
+
+def number(value: float) -> str:
+    """Three digits, thousands apart; whole numbers under a million as they are."""
+    if not math.isfinite(value):
+        return "unbounded"
+    if value == int(value) and abs(value) < 1e6:
+        return f"{int(value):,}"
+    digits = max(0, 2 - math.floor(math.log10(abs(value))))
+    text = f"{value:,.{digits}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else f"{float(f'{value:.3g}'):,.0f}"
+
+
+def shown(value: float | None, unit: str) -> str:
+    """With its unit, by powers of a thousand."""
+    if value is None:
+        return NOT_MEASURED
+    if unit in ("bytes", "bytes/s"):
+        for step, name in ((1e9, "GB"), (1e6, "MB"), (1e3, "KB")):
+            if abs(value) >= step:
+                return f"{number(value / step)} {name}{unit[5:]}"
+    if unit == "s" and 0.0 < abs(value) < 1.0:
+        return f"{number(1e3 * value)} ms" if abs(value) >= 1e-3 else f"{number(1e6 * value)} us"
+    if unit == "core":
+        return f"{number(value)} core" + ("s" if value > 1.0 else "")
+    return f"{number(value)}{'' if unit.startswith('/') or not unit else ' '}{unit}"
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+# -- estimates -----------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Estimate:
+    """A quantity at the target, or why there is none."""
+
+    value: float | None
+    fit: Fit | None
+    left: LeftOut | None
+    sizes: tuple[float, ...]
+    factor: float | None  # the target over the largest size measured
+    why: str  # "" where there is a value
+
+    @property
+    def stands(self) -> str:
+        """What the size that was left out says of the figure."""
+        if self.value is None:
+            return self.why
+        return "not tested" if self.left is None else "held" if self.left.held else "MISSED"
+
+    def said(self, unit: str) -> str:
+        return self.why if self.value is None else shown(self.value, unit)
+
+
+def estimate(form: Form, rows: Sequence[Row], at: float, quantity: str = "",
+             size: str = "members") -> Estimate:
+    """The quantity at a size, by the fit over all that were measured."""
+    quantity = quantity or form.quantity
+    sizes = tuple(series(rows, quantity, size)[0])
+    one = whole(form, rows, quantity, size)
+    why = "" if one is not None else NOT_FITTED if sizes else NOT_MEASURED
+    return Estimate(one.at(at) if one is not None else None, one, left_out(form, rows, quantity, size), sizes,
+                    at / sizes[-1] if sizes else None, why)
+
+
+# -- budgets -------------------------------------------------------------------------------------------------
+
+PERIOD = 0.2  # s: the protocol's, as shipped
+DAY = 86_400.0  # s
+PARTS = {"": "an ordinary day", "burst.": "a burst of changes", "zone_lost.": "a zone lost",
+         "region_cut.": "a region cut"}
+CONTROL_BUDGETS = {
+    "bytes_out": "control bytes", "bytes_in": "control bytes", "control_core": "control core",
+    "memory": "control memory", "zone_lost.bytes_out": "control bytes",
+    "zone_lost.bytes_in": "control bytes", "zone_lost.control_core": "control core",
+    "everywhere_p99_s": "in force everywhere", "burst.everywhere_p99_s": "in force everywhere",
+    "zone_lost.everywhere_p99_s": "in force everywhere",
+}
+
+
+def verdict(over: float) -> str:
+    """How a figure stands by its budget, of which it is ``over`` times."""
+    if over <= 1.0:
+        return f"within, {number(over)} of it"
+    return f"**over {number(over)} times**" if math.isfinite(over) else "**over: none is allowed**"
+
+
+def false_deaths(row: Row) -> float | None:
+    """Over all parts of a run."""
+    if (every := of(row, "false_deaths_all")) is not None:
+        return every
+    some = [value for part in PARTS if (value := of(row, f"{part}false_deaths")) is not None]
+    return sum(some) if some else None
+
+
+class Model:
+    """What was measured, beside the target; figures a balancer."""
+
+    def __init__(self, measured: Measured) -> None:
+        self.measured = measured
+        self.n = target("balancers")
+        self.zone = self.n / target("zones")
+        self.held = target("connections") / self.n
+        self.lines = target("deliveries") / self.n
+        self.held_worst = target("connections") / (self.n - self.zone)
+        self.lines_worst = target("deliveries") / (self.n - self.zone)
+
+    def of(self, quantity: str) -> Estimate:
+        """Of control at the target's balancers; ``zone_lost.core`` and the like for parts of the run."""
+        return estimate(form_of(quantity), self.measured.simulated, self.n, quantity)
+
+    def path(self, quantity: str, at: float) -> Estimate:
+        """Of the data path at so many connections."""
+        return estimate(PATH_FORMS[quantity], self.measured.data_path, at, size="connections")
+
+    def days(self) -> tuple[tuple[str, float, float], ...]:
+        """The kinds of day, the connections and lines a second on each."""
+        return ("an ordinary day", self.held, self.lines), ("a zone lost", self.held_worst, self.lines_worst)
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,342 @@
+"""The capacity page: its model, its tables, its command (snowwick/lab/capacity*.py)."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from snowwick.fleet import wire
+from snowwick.lab import capacity
+from snowwick.lab.capacity_model import (
+    BASIS,
+    FORMS,
+    PATH_FORMS,
+    Form,
+    Model,
+    estimate,
+    fit,
+    left_out,
+    merge,
+    number,
+    ranges_bytes,
+    shown,
+    verdict,
+    whole,
+)
+from snowwick.lab.capacity_tables import TABLES, BadPage, render
+
+ROOT = Path(__file__).parent.parent
+SIZES = (8, 16, 32, 64, 128, 256)
+EMPTY = "".join(f"text\n\n<!-- {name} -->\n<!-- end of {name} -->\n" for name in TABLES)
+
+
+def grown(quantity: str, n: float, *coefficients: float) -> float:
+    """A value that follows the quantity's own form."""
+    return sum(c * BASIS[name](n) for c, name in zip(coefficients, FORMS[quantity].basis, strict=True))
+
+
+def row(n: int, **other: Any) -> dict[str, Any]:
+    """A row as the simulated network's run writes them; what it has not is not measured."""
+    return {"members": n, "bytes_out": grown("bytes_out", n, 900.0, 2.0, 0.5), "bytes_in": 900.0 + 2.0 * n,
+            "datagrams_out": 30.0, "core": grown("core", n, 0.01, 1e-5, 0.0),
+            "heed_core": 1e-4 * n,
+            "memory": grown("memory", n, 2e6, 3000.0), "everywhere_p99_s": 0.2 * math.log2(n),
+            "false_deaths": 0, **other}
+
+
+def simulated(rows: list[dict[str, Any]], **other: Any) -> dict[str, Any]:
+    return {"form": "simulated", "command": "python -m snowwick.lab.scale_simulated", "date": "2026-12-02",
+            "machine": {"cores": 8, "memory_bytes": 23e9, "python": "3.11"}, "workload": {}, "rows": rows,
+            "complete": True, "ended": "done", **other}
+
+
+def path_rows() -> list[dict[str, Any]]:
+    return [{"connections": n, "memory": 2e7 + 5000.0 * n, "pss": 2e7, "line_s": 1e-4 + 1e-5 * math.log2(n),
+             "line_reference": 40.0, "setup_s": 1e-3, "lines": 1000, "lines_a_second": 1000.0} for n in SIZES]
+
+
+def put(folder: Path, **files: dict[str, Any]) -> Path:
+    for name, file in files.items():
+        (folder / f"{name.replace('_', '-')}.json").write_text(json.dumps(file))
+    return folder
+
+
+def lines_of(page: str, name: str) -> list[str]:
+    return page.split(f"<!-- {name} -->\n")[1].split(f"<!-- end of {name} -->")[0].splitlines()
+
+
+# -- the fit -------------------------------------------------------------------------------------------------
+
+
+def test_fit_recovers_slopes() -> None:
+    values = [900.0 + 2.0 * n + 0.5 * n * math.log2(n) for n in SIZES]
+    found = fit(SIZES, values, ("1", "N", "N log2 N")).coefficients
+    assert found == pytest.approx((900.0, 2.0, 0.5), rel=1e-6)
+
+
+def test_fit_recovers_each_basis_alone_among_all() -> None:
+    for at, name in enumerate(BASIS):
+        found = fit(SIZES, [7.0 * BASIS[name](n) for n in SIZES], tuple(BASIS)).coefficients
+        assert found[at] == pytest.approx(7.0, rel=1e-6)
+        assert sum(found) == pytest.approx(7.0, rel=1e-6)
+
+
+def test_fit_has_no_negative_coefficient() -> None:
+    one = fit(SIZES, [1000.0 / n for n in SIZES], ("1", "N"))  # plain least squares would slope down
+    assert min(one.coefficients) >= 0.0 and one.coefficients[1] == 0.0
+
+
+def test_fit_weighs_relative_errors() -> None:
+    # Ten percent off at the smallest size counts as much as ten at the largest.
+    one = fit((1, 1000), (1.1, 900.0), ("N",))
+    assert one.coefficients[0] == pytest.approx(1.0, rel=0.02)
+
+
+def test_fit_of_zeros_is_zero() -> None:
+    assert fit(SIZES, [0.0] * len(SIZES), ("1", "N")).at(5700) == 0.0
+
+
+# -- the model can fail --------------------------------------------------------------------------------------
+
+
+LINEAR = Form("memory", "memory", "bytes", ("1", "N"), "for the test")
+
+
+def test_left_out_is_predicted_by_the_smaller_sizes_alone() -> None:
+    rows = [{"members": n, "memory": 100.0 + n} for n in SIZES]
+    one = left_out(LINEAR, rows)
+    assert one is not None and one.size == 256 and one.fit.sizes == SIZES[:-1]
+    assert one.held and one.error == pytest.approx(0.0, abs=1e-9)
+    rows[-1]["memory"] *= 2.0  # what is left out changes nothing in its prediction
+    other = left_out(LINEAR, rows)
+    assert other is not None and other.predicted == pytest.approx(one.predicted) and not other.held
+
+
+@pytest.mark.parametrize(("off", "held"), [(1.10, True), (0.90, True), (1.25, False), (0.80, False)])
+def test_left_out_holds_within_fifteen_percent(off: float, held: bool) -> None:
+    rows = [{"members": n, "memory": 100.0 + n} for n in SIZES]
+    rows[-1]["memory"] /= off
+    one = left_out(LINEAR, rows)
+    assert one is not None and one.error == pytest.approx(off - 1.0) and one.held is held
+
+
+def test_superlinear_series_misses_and_the_page_says_so(tmp_path: Path) -> None:
+    rows = [row(n, memory=10.0 * n ** 2) for n in SIZES]
+    one = left_out(FORMS["memory"], rows)
+    assert one is not None and one.error < -0.15
+    page = render(EMPTY, merge([("simulated.json", simulated(rows))]))
+    (line,) = [line for line in lines_of(page, "left-out") if line.startswith("| control memory")]
+    assert "MISSED" in line and f"{100.0 * one.error:+.1f}%" in line
+    assert "655 KB" in line  # measured: 10 x 256 x 256 bytes
+    (line,) = [line for line in lines_of(page, "glance") if line.startswith("| control memory")]
+    assert "MISSED" in line
+    (line,) = [line for line in lines_of(page, "left-out") if line.startswith("| processor of the protocol")]
+    assert "held" in line and "MISSED" not in line
+
+
+@pytest.mark.parametrize("sizes", [(8, 16, 32, 64, 100), (8, 16, 32, 200), (8, 128, 256)])
+def test_too_few_sizes_or_too_near_are_not_tested(sizes: tuple[int, ...]) -> None:
+    assert left_out(LINEAR, [{"members": n, "memory": 100.0 + n} for n in sizes]) is None
+
+
+def test_fewer_than_four_sizes_are_not_fitted() -> None:
+    rows = [{"members": n, "memory": 100.0 + n} for n in (8, 64, 256)]
+    one = estimate(LINEAR, rows, 5700)
+    assert one.value is None and one.stands == "not fitted" and whole(LINEAR, rows) is None
+
+
+def test_estimate_is_of_all_sizes_and_says_how_far() -> None:
+    one = estimate(LINEAR, [{"members": n, "memory": 100.0 + n} for n in SIZES], 5700)
+    assert one.value == pytest.approx(5800.0) and one.fit is not None and one.fit.sizes == SIZES
+    assert one.factor == pytest.approx(5700 / 256) and one.stands == "held"
+
+
+def test_sizes_with_full_frames_are_fitted_apart() -> None:
+    # Frames fill from 16 members on; what is under that grew by another law.
+    full = 30.0 * wire.MOST
+    sizes = (4, 8, 16, 32, 64, 128, 256, 512)
+    rows = [row(n, bytes_out=full if n >= 16 else full * n / 16.0) for n in sizes]
+    one = whole(FORMS["bytes_out"], rows)
+    assert one is not None and one.sizes == sizes[2:] and one.at(5700) == pytest.approx(full)
+    assert one.basis == FORMS["bytes_out"].full
+
+
+def test_whether_frames_are_full_is_not_read_from_the_size_left_out() -> None:
+    rows = [row(n, bytes_out=1000.0) for n in SIZES]
+    rows[-1]["bytes_out"] = 30.0 * wire.MOST
+    one = left_out(FORMS["bytes_out"], rows)
+    assert one is not None and one.fit.basis == FORMS["bytes_out"].basis and not one.held
+
+
+def test_every_form_is_of_the_basis_and_has_a_reason() -> None:
+    for form in (*FORMS.values(), *PATH_FORMS.values()):
+        assert {*form.basis, *(form.full or ())} <= BASIS.keys() and form.reason and form.title
+
+
+# -- what is put together ------------------------------------------------------------------------------------
+
+
+def test_files_of_one_form_are_merged_and_the_later_name_holds() -> None:
+    found = merge([("simulated-b.json", simulated([{"members": 8, "core": 2.0}])),
+                   ("simulated.json", simulated([{"members": 4, "core": 9.0}, {"members": 16, "core": 5.0}])),
+                   ("simulated-a.json", simulated([{"members": n, "core": core}
+                                                   for n, core in ((8, 1.0), (4, 3.0))])),
+                   ("real.json", {"form": "real", "rows": [{"members": 8, "core": 7.0}]})])
+    assert [(one["members"], one["core"]) for one in found.simulated] == [(4, 3.0), (8, 2.0), (16, 5.0)]
+    assert [one["core"] for one in found.real] == [7.0]
+
+
+def test_a_quantity_that_a_row_has_not_or_null_is_passed_over() -> None:
+    rows: list[dict[str, Any]] = [{"members": n, "memory": 100.0 + n} for n in SIZES]
+    rows += [{"members": 1024, "memory": None}, {"members": 2048}]
+    one = estimate(LINEAR, rows, 5700)
+    assert one.sizes == SIZES
+
+
+def test_a_size_that_was_not_played_to_its_end_is_left_out() -> None:
+    found = merge([("simulated.json", simulated([row(8), row(16, partial=True)]))])
+    assert [one["members"] for one in found.simulated] == [8]
+
+
+def test_control_is_the_protocol_and_the_reading_and_not_measured_without_either() -> None:
+    rows = [row(8, zone_lost={"core": 0.5, "heed_core": 0.25}), row(16, heed_core=None)]
+    one, other = merge([("simulated.json", simulated(rows))]).simulated
+    assert one["control_core"] == pytest.approx(0.01 + 8e-5 + 8e-4)
+    assert one["zone_lost"]["control_core"] == 0.75 and "control_core" not in other
+
+
+def test_parts_of_a_run_are_fitted_by_the_same_form() -> None:
+    rows = [row(n, zone_lost={"core": 0.5 + 0.01 * n, "false_deaths": 1}) for n in SIZES]
+    one = Model(merge([("simulated.json", simulated(rows))])).of("zone_lost.core")
+    assert one.value == pytest.approx(0.5 + 57.0, rel=1e-6)
+
+
+# -- the tables ----------------------------------------------------------------------------------------------
+
+
+def test_glance_is_sorted_by_factor_and_names_what_is_over() -> None:
+    rows = [row(n, memory=1000.0 * n + 1e4, false_deaths=n == 256) for n in SIZES]
+    page = render(EMPTY, merge([("simulated.json", simulated(rows))]))
+    found = lines_of(page, "glance")[2:]
+    assert "falsely taken for dead" in found[0] and "none is allowed" in found[0]
+    factors = [float(over or within) for over, within in
+               re.findall(r"(?:\*\*over ([\d.]+) times|within, ([\d.]+) of it)", "\n".join(found))]
+    assert factors == sorted(factors, reverse=True) and factors[0] > 1.0 > factors[-1]
+    (memory,) = [line for line in found if line.startswith("| control memory |")]
+    assert "5.71 MB | 32 MB | within, 0.178 of it | 22.3 times | held" in memory
+
+
+def test_verdict_at_the_budget() -> None:
+    assert verdict(1.0) == "within, 1 of it" and verdict(1.01) == "**over 1.01 times**"
+
+
+def test_data_path_at_the_target() -> None:
+    page = render(EMPTY, merge([("data-path.json", {"form": "data-path", "rows": path_rows()})]))
+    (line,) = [line for line in lines_of(page, "glance") if "an ordinary day" in line]
+    busy = (36e6 / 5700) * (1e-4 + 1e-5 * math.log2(530e6 / 5700))
+    assert f"{number(busy)} cores" in line
+    (line,) = [line for line in lines_of(page, "data-path") if line.startswith("| **116,000**")]
+    assert shown(2e7 + 5000.0 * 530e6 / 4560, "bytes") in line
+
+
+def test_real_rows_stand_beside_the_simulated_of_the_same_size() -> None:
+    real = {"form": "real", "rows": [{"members": 64, "real": 8, "hollow": 56, "of_real": {"core": 0.04}}]}
+    rows = [row(64, core=0.02)]
+    page = render(EMPTY, merge([("real.json", real), ("simulated.json", simulated(rows))]))
+    assert "| 64 | 8 | 56 | not measured |" in lines_of(page, "real")[2] and "0.04 core, 2 times" in page
+
+
+def test_a_missing_file_is_not_measured_and_never_a_guess(tmp_path: Path) -> None:
+    page = render(EMPTY, capacity.read(tmp_path))
+    for name in ("glance", "left-out", "slopes", "sizes", "real", "data-path", "runs", "options", "worst"):
+        assert "not measured" in "\n".join(lines_of(page, name)), name
+    for line in lines_of(page, "slopes")[2:]:
+        cells = line.strip("| ").split(" | ")
+        assert cells[1] == "not measured" and cells[5] == "not measured" and cells[6] == "-"
+    for line in lines_of(page, "options")[2:]:
+        assert line.count("not measured") == 4, line
+    put(tmp_path, simulated=simulated([row(n) for n in SIZES]))
+    page = render(EMPTY, capacity.read(tmp_path))
+    assert "not measured" in "\n".join(lines_of(page, "data-path"))
+    assert "not measured" not in lines_of(page, "glance")[2]
+
+
+def test_a_run_that_was_not_whole_says_so() -> None:
+    page = render(EMPTY, merge([("simulated.json", simulated([row(8)], complete=False, ended="memory"))]))
+    assert "not whole: memory" in "\n".join(lines_of(page, "runs"))
+
+
+def test_options_cost_a_delegate_both_fleets() -> None:
+    rows = [row(n, bytes_out=1000.0 + 10.0 * n) for n in SIZES]
+    page = render(EMPTY, merge([("simulated.json", simulated(rows))]))
+    (line,) = [line for line in lines_of(page, "options") if line.startswith("| cells of 57, 100 delegates")]
+    assert "1.57 KB/s, within, 0.0748 of it; delegate 3.57 KB/s" in line
+    assert "inside the sizes measured" in line
+
+
+def test_the_frame_of_the_ranges_is_counted_from_the_shipped_code() -> None:
+    assert ranges_bytes(1024) <= wire.MOST < ranges_bytes(1025)
+
+
+@pytest.mark.parametrize(("value", "unit", "text"), [
+    (21e3, "bytes/s", "21 KB/s"), (32e6, "bytes", "32 MB"), (0.39, "s", "390 ms"), (12.5e-6, "s", "12.5 us"),
+    (0.028, "core", "0.028 core"), (57.0, "core", "57 cores"), (5700.0, "", "5,700"),
+    (0.0, "bytes", "0 bytes"), (None, "s", "not measured"), (1234.5, "bytes/s", "1.23 KB/s"),
+    (26_000, "/day", "26,000/day"), (12_345_678.0, "", "12,300,000"), (math.inf, "s", "unbounded s")])
+def test_figures_are_written_with_their_unit(value: float | None, unit: str, text: str) -> None:
+    assert shown(value, unit) == text
+
+
+# -- the command ---------------------------------------------------------------------------------------------
+
+
+def test_the_committed_page_is_what_the_command_writes(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.chdir(ROOT)
+    assert capacity.main(["--check"]) == 0
+
+
+def test_check_ends_with_one_where_the_page_says_otherwise_and_writes_nothing(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    page, slopes = tmp_path / "PAGE.md", tmp_path / "slopes"
+    slopes.mkdir()
+    page.write_text(EMPTY)
+    here = ["--page", str(page), "--slopes", str(slopes)]
+    assert capacity.main([*here, "--check"]) == 1 and page.read_text() == EMPTY
+    assert str(page) in capsys.readouterr().out
+    assert capacity.main(here) == 0 and capacity.main([*here, "--check"]) == 0
+    put(slopes, simulated=simulated([row(n) for n in SIZES]))
+    assert capacity.main([*here, "--check"]) == 1
+    assert capacity.main(here) == 0 and capacity.main([*here, "--check"]) == 0
+    page.write_text(page.read_text().replace("held", "HELD", 1))
+    assert capacity.main([*here, "--check"]) == 1
+    assert page.read_text().count("text\n\n") == len(TABLES)  # what is not between markers stays
+
+
+@pytest.mark.parametrize(("text", "fault"), [
+    ("{", "simulated.json: "), ("[]", "simulated.json: no object"),
+    ('{"form": "other"}', "simulated.json: form: 'other' is none of simulated, real, data-path"),
+    ('{"form": "simulated", "rows": [{}]}', "simulated.json: a row without members")])
+def test_a_file_that_cannot_be_used_ends_with_two(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str], text: str, fault: str) -> None:
+    page, slopes = tmp_path / "PAGE.md", tmp_path / "slopes"
+    slopes.mkdir()
+    page.write_text(EMPTY)
+    (slopes / "simulated.json").write_text(text)
+    assert capacity.main(["--check", "--page", str(page), "--slopes", str(slopes)]) == 2
+    assert fault in capsys.readouterr().err and page.read_text() == EMPTY
+
+
+def test_a_page_without_markers_ends_with_two(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    page = tmp_path / "PAGE.md"
+    for text in ("", EMPTY.replace("<!-- roles -->\n", ""), EMPTY + "<!-- roles -->\n<!-- end of roles -->"):
+        page.write_text(text)
+        assert capacity.main(["--page", str(page), "--slopes", str(tmp_path)]) == 2
+        assert page.read_text() == text and "markers" in capsys.readouterr().err
+    with pytest.raises(BadPage):
+        render("", merge([]))
+    assert capacity.main(["--page", str(tmp_path / "none.md"), "--slopes", str(tmp_path)]) == 2
