--- a/snowwick/lab/capacity_model.py
+++ b/snowwick/lab/capacity_model.py
@@ -377,8 +377,8 @@
 
 
 # The most that a member sends a period, the mean over members, without probes for others: a probe and an
-# answer, news, a root; its receiver answers with ranges, those are answered with rows, and rows with rows; each
-# of the two vectors that a member gets so may start pulls, which it sends and is sent, and as many pieces
+# answer, news, a root; its receiver answers with ranges, those are answered with rows, and rows with rows;
+# each of the two vectors that a member gets so may start pulls, sent and received, and as many pieces
 FRAMES = 2 + node.GOSSIP + 1 + 1 + 2 + 2 * node.PULLS + 2 * node.PULLS
 
 
@@ -470,6 +470,11 @@
 }
 
 
+def cap(quantity: str, at: float) -> float:
+    """What the code can come to at most, infinite where nothing bounds it."""
+    return CAPS[quantity](int(at)) if quantity in CAPS else math.inf
+
+
 def estimate(form: Form, rows: Sequence[Row], at: float, quantity: str = "",
              size: str = "members") -> Estimate:
     """The quantity at a size, by the fit over all that were measured."""
@@ -478,7 +483,7 @@
     one = whole(form, rows, quantity, size)
     why = "" if one is not None else NOT_FITTED if sizes else NOT_MEASURED
     value = one.at(at) if one is not None else None
-    most = CAPS[form.quantity](int(at)) if form.quantity in CAPS else math.inf
+    most = cap(form.quantity, at)
     left, factor = left_out(form, rows, quantity, size), at / sizes[-1] if sizes else None
     if value is None:
         return Estimate(None, one, left, sizes, factor, why)
--- a/snowwick/lab/capacity_roles.py
+++ b/snowwick/lab/capacity_roles.py
@@ -18,6 +18,7 @@
     Fit,
     Model,
     assumed,
+    cap,
     demand,
     number,
     shown,
@@ -194,10 +195,10 @@
 def _cell(one: Fit | None, quantity: str, budget: str, cell: float, rest: float, some: bool) -> str:
     if one is None:
         return NOT_FITTED if some else NOT_MEASURED
-    unit, mine = FORMS[quantity].unit, one.at(cell)
+    unit, mine = FORMS[quantity].unit, min(one.at(cell), cap(quantity, cell))
     text = f"{shown(mine, unit)}, {verdict(mine / target(budget))}"
     if rest > 1.0:
-        both = mine + one.at(rest)
+        both = mine + min(one.at(rest), cap(quantity, rest))
         text += f"; delegate {shown(both, unit)}, {verdict(both / target(budget))}"
     return text
 
--- a/snowwick/lab/capacity_tables.py
+++ b/snowwick/lab/capacity_tables.py
@@ -48,19 +48,20 @@
     rows: list[tuple[float, list[str]]] = []
 
     def add(name: str, value: float | None, unit: str, budget: float, stands: str,
-            factor: float | None = None) -> None:
+            factor: float | None = None, past: bool = False) -> None:
         if value is None:
             rows.append((-1.0, [name, stands, shown(budget, unit), "-", "-", "-"]))
             return
         over = value / budget if budget else (math.inf if value else 0.0)
-        rows.append((over, [name, shown(value, unit), shown(budget, unit), verdict(over),
+        said = f"open: {number(over)} of it, were there no bound" if past and over <= 1.0 else verdict(over)
+        rows.append((over, [name, shown(value, unit), shown(budget, unit), said,
                             f"{number(factor)} times" if factor is not None else "-", stands]))
 
     for quantity, budget in CONTROL_BUDGETS.items():
         form, one = form_of(quantity), model.of(quantity)
         part = quantity.rpartition(".")[0]
         title = form.title + (f", {PARTS[part + '.']}" if part else "")
-        add(title, one.value, form.unit, target(budget), one.stands, one.factor)
+        add(title, one.value, form.unit, target(budget), one.stands, one.factor, one.past)
     for title, held, lines in model.days():
         one = model.path("line_s", held)
         add(f"data path, {title}: {number(lines)} lines a second at {number(held)} connections",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -228,10 +228,11 @@
     found = lines_of(page, "glance")[2:]
     assert "falsely taken for dead" in found[0] and "none is allowed" in found[0]
     factors = [float(over or within) for over, within in
-               re.findall(r"(?:\*\*over ([\d.]+) times|within, ([\d.]+) of it)", "\n".join(found))]
+               re.findall(r"(?:\*\*over ([\d.]+) times|(?:open:|within,) ([\d.]+) of it)", "\n".join(found))]
     assert factors == sorted(factors, reverse=True) and factors[0] > 1.0 > factors[-1]
     (memory,) = [line for line in found if line.startswith("| control memory |")]
-    assert "5.71 MB | 32 MB | within, 0.178 of it | 22.3 times | held; past a bound" in memory
+    assert "5.71 MB | 32 MB | open: 0.178 of it, were there no bound | 22.3 times" in memory
+    assert memory.endswith("| held; past a bound |")
 
 
 def test_verdict_at_the_budget() -> None:
