--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -298,6 +298,13 @@
     assert "inside the sizes measured" in line
 
 
+def test_options_are_cut_to_what_frames_hold() -> None:
+    rows = [row(n, bytes_out=1000.0 * n) for n in SIZES]
+    page = render(EMPTY, merge([("simulated.json", simulated(rows))]))
+    line = lines_of(page, "options")[-1]
+    assert line.startswith(f"| all, as it is | {shown(ceiling(5700), 'bytes/s')}, **over 15.2 times**")
+
+
 def test_the_frame_of_the_ranges_is_counted_from_the_shipped_code() -> None:
     assert ranges_bytes(1024) <= wire.MOST < ranges_bytes(1025) and BOUND == 1025
 
