--- a/snowwick/lab/scale.py
+++ b/snowwick/lab/scale.py
@@ -264,7 +264,8 @@
                        date=time.strftime("%Y-%m-%d"), machine=host(),
                        workload={**asdict(workloads[0]), "members": [w.members for w in workloads]}, rows=[],
                        complete=False, ended="under way"), given.json)
-    signal.signal(signal.SIGTERM, _end)
+    for one in (signal.SIGINT, signal.SIGTERM):  # also where a shell has started it with SIGINT ignored
+        signal.signal(one, _end)
     try:
         kept.rewrite()
         for w in workloads:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -281,9 +281,15 @@
 # -- the command line ------------------------------------------------------------------------------------
 
 
-def run(*words: str) -> subprocess.Popen[str]:
-    return subprocess.Popen([sys.executable, "-m", "snowwick.lab.scale", *words], text=True,
-                            stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+def run(*words: str, deaf: bool = False) -> subprocess.Popen[str]:
+    """``deaf`` starts it as a shell does in the background, with SIGINT ignored."""
+    was = signal.signal(signal.SIGINT, signal.SIG_IGN) if deaf else None
+    try:
+        return subprocess.Popen([sys.executable, "-m", "snowwick.lab.scale", *words], text=True,
+                                stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    finally:
+        if was is not None:
+            signal.signal(signal.SIGINT, was)
 
 
 def test_what_would_not_fit_is_refused_in_one_line(tmp_path: Path) -> None:
@@ -346,12 +352,12 @@
     return False
 
 
-@pytest.mark.parametrize("whom", ["itself", "its child"])
+@pytest.mark.parametrize("whom", ["itself", "itself in the background", "its child"])
 def test_interrupted_or_failed_it_ends_what_it_started_and_keeps_what_was_measured(
         whom: str, tmp_path: Path) -> None:
     path = tmp_path / "out.json"
     process = run("--members", "5,6", "--seconds", "50000", "--idle-s", "1", "--most-minutes", "1e9",
-                  "--json", str(path))
+                  "--json", str(path), deaf="background" in whom)
     assert process.stderr is not None
     child = 0
     for line in process.stderr:
@@ -360,17 +366,17 @@
         if "steady" in line:
             break
     assert child and not gone(child)
-    if whom == "itself":
+    if whom != "its child":
         process.send_signal(signal.SIGINT)
     else:
         os.kill(child, signal.SIGKILL)
     out, errors = process.communicate(timeout=30.0)
     assert process.returncode == 1 and not out
-    assert ("interrupted" if whom == "itself" else "failed") in errors and "has ended" in errors
+    assert ("failed" if whom == "its child" else "interrupted") in errors and "has ended" in errors
     assert gone(child)
     kept = json.loads(path.read_text(encoding="utf-8"))
     assert kept["complete"] is False and kept["ended"].startswith(
-        "interrupted" if whom == "itself" else "failed")
+        "failed" if whom == "its child" else "interrupted")
     (row,) = kept["rows"]
     assert row["partial"] is True and row["members"] == 5 and row["bytes_out"] > 0
 
