--- a/snowwick/fleet/node.py
+++ b/snowwick/fleet/node.py
@@ -466,7 +466,8 @@
                 "kinds": {str(kind): {"entries": count, "oldest_s": round(ages[kind], 1)}
                           for kind, count in sorted(kinds.items())},
                 "frames_in": self.counts.frames_in, "frames_out": self.counts.frames_out,
-                "bytes_out": self.counts.bytes_out, "dropped": dict(self.counts.dropped)}
+                "bytes_in": self.counts.bytes_in, "bytes_out": self.counts.bytes_out,
+                "dropped": dict(self.counts.dropped)}
 
     def take_out(self) -> list[tuple[str, bytes]]:
         """What is to be sent, once."""
--- a/snowwick/net/fleet.py
+++ b/snowwick/net/fleet.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from snowwick.broker.contract import Contracts
     from snowwick.net.contracts import ContractStage
-    from snowwick.net.service import Service
+    from snowwick.net.host import Host
 
 # Datagrams taken a turn; after as many the socket rests, so that a flood of frames that prove to be
 READS = 16
@@ -44,9 +44,9 @@
 
     lasting = True
 
-    def __init__(self, service: Service, file: FleetFile, name: str, rng: random.Random) -> None:
-        super().__init__(service.loop)
-        self.service, self.file, self.log = service, file, service.loop.log
+    def __init__(self, host: Host, file: FleetFile, name: str, rng: random.Random) -> None:
+        super().__init__(host.loop)
+        self.host, self.file, self.log = host, file, host.loop.log
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         with contextlib.suppress(OSError):
@@ -163,7 +163,7 @@
     # -- what is told ------------------------------------------------------------------------------------
 
     def share(self, now: float) -> None:
-        share, pool = self.file.share, self.service.pool.config
+        share, pool = self.file.share, self.host.pool_config
         if share.health:
             self._health(now, len(pool.addresses))
         if share.list:
@@ -171,8 +171,8 @@
         if share.load:
             self._load(now)
         self._revision(now)
-        if share.rights and self.service.contract_stage is not None:
-            self._rights(now, self.service.contract_stage)
+        if share.rights and self.host.contract_stage is not None:
+            self._rights(now, self.host.contract_stage)
 
     def _write(self, kind: int, key: str, value: object, now: float, left: float = 0.0) -> None:
         data = None if value is None else facts.pack(value)
@@ -180,11 +180,11 @@
             self.node.write(kind, key, data, now, left)
 
     def _health(self, now: float, known: int) -> None:
-        gauge, health = self.service.gauge, self.health
-        for destination, answers in gauge.answers.items():
+        health = self.health
+        for destination, heard in self.host.served():
             watched = health.watched.setdefault(destination, facts.Watched())
-            watched.served = max(watched.served, answers.heard)
-        health.forget(self.service.pool.config.addresses.__contains__)
+            watched.served = max(watched.served, heard)
+        health.forget(self.host.pool_config.addresses.__contains__)
         verdicts = self.facts.verdicts(known, now)
         words = health.words(verdicts, now)
         for destination, word in words.items():
@@ -198,10 +198,10 @@
             del self.said[destination]
             self._write(facts.HEALTH, str(destination), None, now)
         for destination in health.judge(verdicts, now):
-            self.service.desks.hear(Silent(destination))
+            self.host.hear(Silent(destination))
 
     def _list(self, now: float) -> None:
-        pool, source = self.service.pool.config, self.file.share.discovery
+        pool, source = self.host.pool_config, self.file.share.discovery
         leaving = [one for one, entry in pool.entries.items() if entry.state is not i.State.READY]
         self._write(facts.LIST, "", Listed(source, pool.version, leaving[-facts.LEAVING:]), now)
         told = self.facts.leaving(source, pool.version, now)
@@ -211,18 +211,18 @@
         if fresh:
             self.log.event("fleet-leaving", "fleet: {count} destinations leave by a newer list than ours, "
                            "{version}", count=len(fresh), version=pool.version)
-            self.service.desks.news(PoolNews(i.ListKind.CHANGES, [
+            self.host.news(PoolNews(i.ListKind.CHANGES, [
                 _leaving(pool.entries[one]) for one in sorted(fresh)]))
         back = [one for one in sorted(self.left - heed) if one in pool.entries
                 and pool.entries[one].state is i.State.READY]
         if back:  # the newer list was taken back, as after a restore
-            self.service.desks.news(PoolNews(i.ListKind.CHANGES, [pool.entries[one] for one in back]))
+            self.host.news(PoolNews(i.ListKind.CHANGES, [pool.entries[one] for one in back]))
         self.left = frozenset(heed)
 
     def _load(self, now: float) -> None:
         chunks: dict[int, dict[int, int]] = defaultdict(dict)
-        for decider in self.service.desks.deciders.values():
-            for destination, held in decider.held().items():
+        for pool in self.host.held():
+            for destination, held in pool.items():
                 counts = chunks[facts.chunk_of(destination)]
                 counts[destination] = counts.get(destination, 0) + held
         for chunk in range(facts.CHUNKS):
@@ -255,7 +255,7 @@
         stage.has(desk.targets(now))
 
     def _revision(self, now: float) -> None:
-        stage = self.service.contract_stage
+        stage = self.host.contract_stage
         if stage is not None and stage.contracts is not self.contracts:
             from snowwick.broker.contract import digest_of, limits_of
 
@@ -309,7 +309,7 @@
             "kept_away_from": [str(one) for one in self.health.believed],
             "rights": {key: round(amount, 2) for key, amount in (
                 self.desk.targets(now) if self.desk is not None else {}).items()},
-            "list_version": self.service.pool.config.version, "held_elsewhere": self.facts.held(now).total()}
+            "list_version": self.host.pool_config.version, "held_elsewhere": self.facts.held(now).total()}
 
 
 def _leaving(entry: i.BackendEntry) -> i.BackendEntry:
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import fields, replace
 from itertools import islice
 from typing import TYPE_CHECKING
@@ -17,14 +17,14 @@
 from crowgap.interface import ListKind, Settings
 from snowwick.config import LIVE, BadConfig, Config, reload
 from snowwick.log import Log
-from snowwick.net.decider import Decider, MoveAway
+from snowwick.net.decider import Decider, MoveAway, PoolNews, Silent
 from snowwick.net.desks import Desks
 from snowwick.net.front import SETTLE, Closing, Front, MakeRoom
 from snowwick.net.gauge import Gauge
 from snowwick.net.loop import Actor, Loop, Steps, Wait
 from snowwick.net.path import Ask, Decisions, Openings, Path, Room
 from snowwick.net.peer import CHUNK
-from snowwick.net.pool import CallFailed, NewAddress, Pool, WatchPool
+from snowwick.net.pool import CallFailed, NewAddress, Pool, PoolConfig, WatchPool
 from snowwick.net.probe import Probe
 from snowwick.net.signals import CaughtSignals
 
@@ -147,6 +147,26 @@
             decider.observe = self.fleet.observe
         return decider
 
+    # -- what the fleet link needs (net/host.py) -----------------------------------------------------------
+
+    @property
+    def pool_config(self) -> PoolConfig:
+        return self.pool.config
+
+    def served(self) -> Iterator[tuple[int, float]]:
+        return ((destination, answers.heard) for destination, answers in self.gauge.answers.items())
+
+    def held(self) -> Iterator[dict[int, int]]:
+        return (decider.held() for decider in self.desks.deciders.values())
+
+    def hear(self, message: Silent) -> None:
+        self.desks.hear(message)
+
+    def news(self, news: PoolNews) -> None:
+        self.desks.news(news)
+
+    # -- the parts ---------------------------------------------------------------------------------------
+
     def make_fleet(self, file: FleetFile) -> FleetLink:
         from snowwick.net.fleet import FleetLink, observing  # only where there is a fleet
 
