--- a/snowwick/lab/rig.py
+++ b/snowwick/lab/rig.py
@@ -14,6 +14,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -225,18 +226,70 @@
     process: subprocess.Popen[str] | None = None
     front: tuple[str, int] = ("", 0)
     starts: int = 0
+    ended: bool = False  # on purpose, by a signal of the rig's
 
     @property
     def log(self) -> str:
         return (self.folder / f"log{self.starts}").read_text()
 
 
+class Failed(AssertionError):
+    """A process of the rig's has ended, though nobody ended it."""
+
+
+class Hollow:
+    """One process of hollow members (``snowwick.lab.hollow``), and the socket that it takes its orders from.
+    """
+
+    def __init__(self, folder: Path, number: int) -> None:
+        ours, theirs = socket.socketpair()
+        self.number, self.sock, self.inbox = number, ours, bytearray()
+        self.path, self.ended = folder / f"hollow{number}.log", False
+        self.addresses: dict[str, str] = {}  # of its members, by name
+        self.sock.setblocking(False)
+        with theirs, self.path.open("w") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "snowwick.lab.hollow"], cwd=ROOT,
+                                            stdin=theirs.fileno(), stdout=subprocess.DEVNULL, stderr=log)
+
+    @property
+    def log(self) -> str:
+        return self.path.read_text()
+
+    def send(self, do: str, **order: Any) -> None:
+        self.sock.setblocking(True)
+        with contextlib.suppress(ConnectionError):  # it has ended, which ``Fleet.watch`` finds
+            self.sock.sendall(json.dumps({"do": do, **order}).encode() + b"\n")
+        self.sock.setblocking(False)
+
+    def answer(self) -> dict[str, Any] | None:
+        """The next answer, once it is there."""
+        with contextlib.suppress(BlockingIOError, ConnectionError):
+            self.inbox += self.sock.recv(1 << 20)
+        end = self.inbox.find(b"\n") + 1
+        if not end:
+            return None
+        found: dict[str, Any] = json.loads(self.inbox[:end])
+        del self.inbox[:end]
+        return found
+
+    def close(self) -> None:
+        self.sock.close()
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
 class Fleet:
     """So many balancers, nodes and one discovery; a context that ends all that it started."""
 
     def __init__(self, folder: Path, count: int, nodes: int = 3, contracts: str = "", fleet: bool = True,
-                 deadline: float = 1200.0, tenants: Iterable[str] = ("n",), **more: Any) -> None:
-        self.loop, self.folder, self.fleet = Loop(), folder, fleet
+                 deadline: float = 1200.0, tenants: Iterable[str] = ("n",), period_ms: float = 100.0,
+                 **more: Any) -> None:
+        self.loop, self.folder, self.fleet, self.period_ms = Loop(), folder, fleet, period_ms
+        self.hollow: list[Hollow] = []
+        # To a hollow member by the balancer's number and the member's name, and back
+        self.out: dict[tuple[int, str], Link] = {}
+        self.back: dict[int, Link] = {}
         self.random = random.Random(1)
         self.discovery = Discovery(self.loop)
         self.nodes = [self.node(f"s-{n}") for n in range(nodes)]
@@ -267,13 +320,22 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for balancer in self.balancers:
-            if balancer.process is not None and balancer.process.poll() is None:
-                balancer.process.kill()
-                balancer.process.wait()
-        self.loop.close()
-        for link in self.links.values():
-            link.sock.close()
+        # A second interrupt, as of one who has lost patience, must not leave processes behind.
+        main = threading.current_thread() is threading.main_thread()
+        old = signal.signal(signal.SIGINT, signal.SIG_IGN) if main else None
+        try:
+            for balancer in self.balancers:
+                if balancer.process is not None and balancer.process.poll() is None:
+                    balancer.process.kill()
+                    balancer.process.wait()
+            for one in self.hollow:
+                one.close()
+            self.loop.close()
+            for link in [*self.links.values(), *self.out.values(), *self.back.values()]:
+                link.sock.close()
+        finally:
+            if main:
+                signal.signal(signal.SIGINT, old)
 
     # -- files -------------------------------------------------------------------------------------------
 
@@ -294,12 +356,15 @@
         """A balancer's files."""
         one, others = self.balancers[n], [m for m in range(len(self.balancers)) if m != n]
         routes = "\n".join(f'"{self.balancers[m].address}" = "{self.links[n, m].address}"' for m in others)
-        seeds = json.dumps([self.balancers[m].address for m in others][:2])
+        routes += "".join(f'\n"{self.addresses[name]}" = "{link.address}"' for (of, name), link in
+                          self.out.items() if of == n)
+        seeds = json.dumps([self.balancers[m].address for m in others][:2]
+                           + [next(iter(one.addresses.values())) for one in self.hollow][:2])
         lines = [f'{key} = {json.dumps(value)}' for key, value in share.items()]
         old = f'old_key_file = "{old_key}"\n' if old_key else ""
         (one.folder / "fleet.toml").write_text(
             f'version = 1\n[links]\nlisten = "{one.address}"\nkey_file = "key"\n{old}seeds = {seeds}\n'
-            f"period_ms = 100\n[links.routes]\n{routes}\n[share]\n" + "\n".join(lines) + "\n")
+            f"period_ms = {self.period_ms}\n[links.routes]\n{routes}\n[share]\n" + "\n".join(lines) + "\n")
         (one.folder / "contracts.toml").write_text(self.contracts)
         (one.folder / "config.json").write_text(json.dumps({
             "listen": "127.0.0.1:0", "discovery": self.discovery.door(one.name), "name": name or one.name,
@@ -308,13 +373,89 @@
     def file(self, n: int) -> FleetFile:
         return load(self.balancers[n].folder / "fleet.toml")
 
+    # -- hollow members ----------------------------------------------------------------------------------
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Of the hollow members, by name."""
+        return {name: address for one in self.hollow for name, address in one.addresses.items()}
+
+    def add_hollow(self, count: int, proxied: bool = False) -> Hollow:
+        """A process of so many further members, named from the number of all that are there on.
+
+        Before the balancers start, as their files name some of its members as seeds; ``proxied`` puts a
+        proxy on the way to each of them from each balancer (``out``) and from all of them to each (``back``).
+        """
+        one = Hollow(self.folder, len(self.hollow))
+        self.hollow.append(one)
+        first = len(self.balancers) + len(self.addresses)
+        file = self.file(0)
+        one.addresses = self.order(one, "make", first=first, count=count, key=file.keys[0].hex(),
+                                   digest=file.digest, period_ms=file.links.period_ms,
+                                   real=[balancer.name for balancer in self.balancers])["addresses"]
+        for n, balancer in enumerate(self.balancers if proxied else []):
+            if n not in self.back:
+                self.back[n] = self._proxy(balancer.address, 5000 + n)
+            for name, address in one.addresses.items():
+                self.out[n, name] = self._proxy(address, 6000 + len(self.out))
+        for n in range(len(self.balancers)):
+            self.write(n)
+        return one
+
+    def _proxy(self, address: str, seed: int) -> Link:
+        link = Link(self.loop, "127.0.0.1", seed)
+        host, _, port = address.rpartition(":")
+        link.to = host, int(port)
+        link.start()
+        return link
+
+    def start_hollow(self, rate: float = 1000.0) -> None:
+        """The hollow members begin to look for the others, so many a second over all processes."""
+        seeds = [balancer.address for balancer in self.balancers][:2]
+        seeds += [next(iter(one.addresses.values())) for one in self.hollow][:2]
+        for one in self.hollow:
+            self.order(one, "start", seeds=seeds, apart=len(self.hollow) / rate, routes={
+                self.balancers[n].address: link.address for n, link in self.back.items()})
+
+    def order(self, one: Hollow, do: str, **order: Any) -> dict[str, Any]:
+        """Have a hollow process do something; returns its answer."""
+        return self.orders([one], do, **order)[0]
+
+    def orders(self, some: Iterable[Hollow], do: str, **order: Any) -> list[dict[str, Any]]:
+        """The same to several at once."""
+        asked = list(some)
+        answers: dict[int, dict[str, Any]] = {}
+
+        def all_there() -> bool:
+            for one in asked:
+                if one.number not in answers and (answer := one.answer()) is not None:
+                    answers[one.number] = answer
+            return len(answers) == len(asked)
+
+        for one in asked:
+            one.send(do, **order)
+        self.until(all_there)
+        return [answers[one.number] for one in asked]
+
     # -- processes ---------------------------------------------------------------------------------------
 
+    def watch(self) -> None:
+        """Raises Failed where a process has ended that nobody ended, as a hollow one does at any fault."""
+        for balancer in self.balancers:
+            process = balancer.process
+            if process is not None and process.poll() is not None and not (
+                    balancer.ended and process.returncode in (0, -signal.SIGKILL)):
+                raise Failed(f"{balancer.name} has ended with {process.returncode}: {balancer.log[-1500:]}")
+        for one in self.hollow:
+            if one.process.poll() is not None and not one.ended:
+                raise Failed(f"hollow process {one.number} has ended with {one.process.returncode}: "
+                             f"{one.log[-1500:]}")
+
     def start(self, *numbers: int, skew: float = 0.0) -> None:
         """Start these balancers, or all; returns once they serve."""
         for n in numbers or range(len(self.balancers)):
             one = self.balancers[n]
-            one.starts += 1
+            one.starts, one.ended = one.starts + 1, False
             words = ["-m", "snowwick.lab.skewed", str(skew)] if skew else ["-m", "snowwick"]
             words += ["serve"]
             words += ["--fleet", str(one.folder / "fleet.toml")] if self.fleet else []
@@ -332,6 +473,8 @@
     def signal(self, n: int, number: signal.Signals) -> None:
         process = self.balancers[n].process
         assert process is not None
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.balancers[n].ended = True
         process.send_signal(number)
         if number is signal.SIGKILL:
             process.wait()
@@ -342,9 +485,7 @@
         """Turn until it holds; returns the seconds that it took.  AssertionError where it does not."""
         began = time.monotonic()
         while not condition():
-            for balancer in self.balancers:
-                process = balancer.process
-                assert process is None or process.poll() in (None, 0, -signal.SIGKILL), balancer.log
+            self.watch()
             assert time.monotonic() - began < patience, "the condition does not hold\n" + "\n".join(
                 f"{one.name}: {one.log[-1500:]}" for one in self.balancers if one.starts)
             self.loop.turn(0.01)
@@ -354,6 +495,7 @@
         """Let so much time pass."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
+            self.watch()
             self.loop.turn(min(0.01, max(0.0, end - time.monotonic())))
 
     def cut(self, *pairs: tuple[int, int]) -> None:
--- /dev/null
+++ b/tests/test_scale_real.py
@@ -0,0 +1,212 @@
+"""Hollow members beside real balancers: one fleet, faults between them, and nothing left behind."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from snowwick.fleet.members import ALIVE
+from snowwick.lab.rig import Failed, Fleet
+from snowwick.lab.scale_real import Count, arrived, check, estimate_bytes, mean, play, rates, spread
+from snowwick.lab.standins import ROOT
+from snowwick.lab.workload import Refused, Workload
+
+REAL, HOLLOW = 2, 6
+
+
+def all_agree(fleet: Fleet, members: int = REAL + HOLLOW) -> bool:
+    """Does each see each, and do all hollow ones hold the same?"""
+    answers = fleet.orders([one for one in fleet.hollow if not one.ended], "agree")
+    alive = {count for one in answers for count in one["alive"].values()}
+    roots = {root for one in answers for root in one["roots"].values()}
+    return alive == {members} and len(roots) == 1 and all(
+        sum(state in ("self", "alive") for state in fleet.members(n).values()) == members
+        for n in range(len(fleet.balancers)))
+
+
+def said_dead(fleet: Fleet) -> list[str]:
+    """Who was found dead by any member."""
+    found = [name for one in fleet.orders(fleet.hollow, "counts") for name, _ in one["deaths"]]
+    return found + ["?" for one in fleet.balancers if "is dead" in one.log]
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    """Two real members beside six hollow ones in two processes, proxies between the kinds; all agree."""
+    with Fleet(tmp_path, REAL) as fleet:
+        for _ in range(2):
+            fleet.add_hollow(HOLLOW // 2, proxied=True)
+        fleet.start()
+        fleet.start_hollow()
+        fleet.until(lambda: all_agree(fleet))
+        yield fleet
+
+
+def test_a_change_of_a_hollow_member_is_known_at_the_real_ones_and_the_other_way(fleet: Fleet) -> None:
+    one = fleet.hollow[0]
+    name = next(iter(one.addresses))
+    fleet.order(one, "write", member=name, key="zz", text="another")
+    fleet.until(lambda: all(fleet.status(n)["revisions"].get(name) == "another" for n in range(REAL)))
+    fleet.answered(fleet.ask(0))
+    fleet.until(lambda: all(any(owner == "b0" for owner, *_ in answer["arrivals"])
+                            for answer in fleet.orders(fleet.hollow, "counts")))
+    fleet.until(lambda: all_agree(fleet))
+
+
+def test_a_hollow_process_that_is_killed_is_noticed(fleet: Fleet) -> None:
+    fleet.hollow[1].process.send_signal(signal.SIGKILL)
+    with pytest.raises(Failed, match="hollow process 1 has ended with -9"):
+        fleet.turn(5.0)
+
+
+def test_a_real_member_that_ends_by_itself_is_noticed(fleet: Fleet) -> None:
+    process = fleet.balancers[0].process
+    assert process is not None
+    process.send_signal(signal.SIGKILL)  # past the rig, which holds its own signals for a purpose
+    with pytest.raises(Failed, match="b0 has ended with -9"):
+        fleet.until(lambda: False)
+
+
+def test_a_real_member_stopped_for_two_seconds_gives_no_false_death(fleet: Fleet) -> None:
+    fleet.signal(0, signal.SIGSTOP)
+    fleet.turn(2.0)
+    fleet.signal(0, signal.SIGCONT)
+    fleet.until(lambda: all_agree(fleet))
+    assert not said_dead(fleet)
+
+
+def test_a_one_way_cut_and_loss_between_the_kinds_give_no_false_death(fleet: Fleet) -> None:
+    for n in range(REAL):
+        fleet.back[n].loss = 0.1
+    for (n, _), link in fleet.out.items():
+        link.cut = n == 0
+    carried = sum(link.frames for link in fleet.out.values())
+    fleet.turn(2.5)
+    assert sum(link.frames for link in fleet.out.values()) > carried  # b1's go this way
+    one = fleet.hollow[0]
+    name = next(iter(one.addresses))
+    fleet.order(one, "write", member=name, key="zz", text="through")
+    fleet.until(lambda: all(fleet.status(n)["revisions"].get(name) == "through" for n in range(REAL)))
+    for link in fleet.out.values():
+        link.cut = False
+    fleet.until(lambda: all_agree(fleet))
+    assert not said_dead(fleet)
+
+
+def test_a_real_member_killed_and_started_anew_is_with_the_hollow_ones_again(fleet: Fleet) -> None:
+    def seen() -> list[dict[str, Any]]:
+        return [fleet.order(one, "sees", member=name, of="b0")
+                for one in fleet.hollow for name in one.addresses]
+
+    before = max(one["incarnation"] for one in seen())
+    fleet.signal(0, signal.SIGKILL)
+    fleet.start(0)
+    fleet.until(lambda: "caught up after" in fleet.balancers[0].log)
+    # Until they have heard of the new start the killed one may still stand there, or be suspected.
+    fleet.until(lambda: all(one["state"] == ALIVE and one["incarnation"] > before for one in seen()))
+    fleet.until(lambda: all_agree(fleet))
+
+
+RUN = """
+import json
+from snowwick.lab.scale_real import play
+from snowwick.lab.workload import Workload
+row = play(Workload(6, seconds=60.0, idle_s=0.5, load_writes=4.0, changes_per_day=172800.0), 2, 4,
+           lambda text: print(text, flush=True), lambda row: print("kept", json.dumps(row), flush=True))
+"""
+
+
+def children(pid: int) -> set[int]:
+    return {int(one) for one in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()}
+
+
+def runs(pid: int) -> bool:
+    """Is the process there, and no zombie?"""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+@pytest.mark.parametrize("what", ["SIGINT", "SIGTERM", "a hollow process killed"])
+def test_a_run_that_ends_early_keeps_what_it_has_and_leaves_no_process(tmp_path: Path, what: str) -> None:
+    out = tmp_path / "out"
+    with out.open("w") as file:
+        process = subprocess.Popen([sys.executable, "-c", RUN], cwd=ROOT, stdout=file,
+                                   stderr=subprocess.STDOUT, env={**os.environ, "PYTHONPATH": str(ROOT)})
+    try:
+        until = time.monotonic() + 15.0
+        while "see each other" not in out.read_text():
+            assert process.poll() is None and time.monotonic() < until, out.read_text()
+            time.sleep(0.05)
+        started = children(process.pid)
+        hollow = {one for one in started if "snowwick.lab.hollow" in Path(f"/proc/{one}/cmdline").read_text()}
+        assert len(started) == 3 and len(hollow) == 1  # and two real ones
+        if what in ("SIGINT", "SIGTERM"):
+            process.send_signal(signal.Signals[what])
+        else:
+            os.kill(hollow.pop(), signal.SIGKILL)
+        assert process.wait(10.0) != 0
+        assert not [one for one in started if runs(one)]
+        said = "ended with -9" if "killed" in what else "interrupted"
+        kept = [json.loads(line.removeprefix("kept ")) for line in out.read_text().splitlines()
+                if line.startswith("kept ")]
+        assert said in kept[-1]["ended"] and kept[-1]["partial"] and kept[-1]["joined_s"] > 0.0
+        assert "ended early: " + kept[-1]["ended"] in out.read_text()
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_short_run_gives_a_whole_row(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("snowwick.lab.scale_real.RESTARTS", 1)
+    monkeypatch.setattr("snowwick.lab.scale_real.MARKS", 2)
+    kept: list[dict[str, Any]] = []
+    w = Workload(6, seconds=2.0, idle_s=0.5, load_writes=4.0, changes_per_day=172_800.0, period=0.1)
+    row = play(w, 2, 4, lambda text: None, lambda row: kept.append(dict(row)))
+    of_real = row["of_real"]
+    assert (row["members"], row["real"], row["hollow"], of_real["members"]) == (6, 2, 4, 2)
+    assert "partial" not in row and kept[0]["partial"] and kept[-1] == row
+    for one in (row, of_real):
+        assert min(one[key] for key in ("bytes_out", "bytes_in", "datagrams_out", "datagrams_in", "core",
+                                        "reference")) > 0.0
+        assert 0.0 < one["everywhere_p50_s"] <= one["everywhere_p99_s"] + 1e-3
+        assert one["everywhere_worst_s"] < 5.0 and one["start_bytes"] > 0.0 < one["start_s"]
+        assert one["false_deaths"] == 0
+    assert row["changes"] >= 3 and row["changes_unfinished"] == 0
+    # What all send is what all receive, but for what is under way and for the rare lost one.
+    assert row["bytes_in"] == pytest.approx(row["bytes_out"], rel=0.15)
+    assert row["reference"] == pytest.approx(row["core"] / row["reference_s"])
+
+
+def test_what_a_row_is_made_of() -> None:
+    before = Count(10.0, 1.0, dict.fromkeys(("bytes_out", "bytes_in", "datagrams_out", "datagrams_in"), 0.0))
+    after = Count(12.0, 2.0, {"bytes_out": 800.0, "bytes_in": 400.0, "datagrams_out": 8.0,
+                              "datagrams_in": 4.0})
+    found = rates(before, after, 4, {"bytes_out": 80.0})
+    assert found == {"bytes_out": 90.0, "bytes_in": 50.0, "datagrams_out": 1.0, "datagrams_in": 0.5,
+                     "core": 0.125}
+    assert mean([(3, {"core": 0.2}), (1, {"core": 0.6})]) == {"core": pytest.approx(0.3)}
+    assert spread("x", []) == {"x_p50_s": None, "x_p99_s": None, "x_worst_s": None}
+    assert spread("x", [0.1, 0.1, 0.4]) == {"x_p50_s": pytest.approx(0.1, rel=1e-3),
+                                            "x_p99_s": pytest.approx(0.4, rel=1e-3), "x_worst_s": 0.4}
+    assert arrived([{"arrivals": [["m1", 3, 1.0, 1.5, 2]]}, {"arrivals": [["m1", 3, 1.0, 1.25, 4]]}]) == {
+        ("m1", 3): (1.0, 1.5, 6)}
+
+
+def test_more_than_the_machine_allows_is_refused() -> None:
+    with pytest.raises(Refused, match="processes"):
+        check(300, 200)
+    with pytest.raises(Refused, match="--hollow 2"):
+        check(1, 0)
+    check(8, 200)
+    assert estimate_bytes(8, 200) < estimate_bytes(8, 400) < 8e9
