--- a/snowwick/lab/scale_real.py
+++ b/snowwick/lab/scale_real.py
@@ -271,7 +271,7 @@
         if lacking:
             dead = sum(len(one["deaths"]) for one in fleet.orders(fleet.hollow, "counts"))
             raise Failed(f"{lacking} of {self.members} members did not see all others {JOINED:g} s after the "
-                         f"last had started, and {dead} were said dead: too many for this machine, or its period")
+                         f"last had started, {dead} were said dead: too many for this machine or period")
         self.row["joined_s"] = round(time.monotonic() - began, 1)
         self.say(f"{self.real} real and {self.hollow} hollow members see each other after "
                  f"{self.row['joined_s']} s")
