--- a/tests/test_scale_real.py
+++ b/tests/test_scale_real.py
@@ -215,6 +215,7 @@
         assert 0.0 < one["everywhere_p50_s"] <= one["everywhere_p99_s"] + 1e-3
         assert one["everywhere_worst_s"] < 5.0 and one["start_bytes"] > 0.0 < one["start_s"]
         assert one["false_deaths"] == 0
+    assert of_real["there"] == 2 and of_real["there_worst_s"] < 5.0
     assert row["changes"] >= 2 and row["changes_unfinished"] == 0
     # What all send is what all receive, but for what is under way and for the rare lost one.
     assert row["bytes_in"] == pytest.approx(row["bytes_out"], rel=0.15)
