--- a/snowwick/lab/capacity_model.py
+++ b/snowwick/lab/capacity_model.py
@@ -543,6 +543,7 @@
     why: str  # "" where there is a value
     capped: bool = False  # the fit is over what the code can send; the value is that
     past: bool = False  # a bound of the code lies between the sizes measured and the target
+    ends: int | None = None  # members at which the frames of the series would be full by its own fits
 
     @property
     def stands(self) -> str:
@@ -551,6 +552,7 @@
             return self.why
         said = "not tested" if self.left is None else "held" if self.left.held else "MISSED"
         said += "; cut to what frames hold, counted" if self.capped else ""
+        said += f"; past its regime, which by the fit ends at {number(self.ends)}" if self.ends else ""
         return said + ("; past a bound" if self.past else "")
 
     def said(self, unit: str) -> str:
@@ -625,6 +627,16 @@
 MOST_FLEET = 10_000_000
 
 
+def regime_ends(sent: Fit, frames: Fit) -> int:
+    """The largest fleet whose frames have room for what they carry, by the laws of bytes and datagrams out.
+    """
+    low, high = 2, MOST_FLEET
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (middle, high) if sent.at(middle) <= frames.at(middle) * wire.MOST else (low, middle)
+    return low
+
+
 def largest(one: Fit, budget: float) -> int:
     """The largest fleet whose law is within the budget; 0 where two members are over it."""
     if one.at(2) > budget:
@@ -694,7 +706,12 @@
                 worse = max((some.left for some in (core, heed) if some.left is not None),
                             key=lambda left: abs(left.error), default=None)
                 one = replace(core, value=core.value + heed.value, left=worse, fit=None)
-        return replace(one, past=bool(one.sizes) and one.sizes[-1] < BOUND <= self.n)
+        ends = None
+        if form_of(quantity).full is not None and not one.capped and full_from(rows) is None:
+            sent, frames = law(FORMS["bytes_out"], rows), law(FORMS["datagrams_out"], rows)
+            if sent is not None and frames is not None and sent.at(self.n) > frames.at(self.n) * wire.MOST:
+                ends = regime_ends(sent, frames)
+        return replace(one, past=bool(one.sizes) and one.sizes[-1] < BOUND <= self.n, ends=ends)
 
     def law(self, quantity: str) -> Fit | None:
         """Of the slow series while frames are not full; the control processor's is with the reading's."""
@@ -704,6 +721,13 @@
             return added(core, heed) if core is not None and heed is not None else None
         return law(FORMS[quantity], rows)
 
+    def ends(self, writes: float) -> int | None:
+        """Members at which frames are full at that rate, by the slow series' laws."""
+        sent, frames = self.law("bytes_out"), self.law("datagrams_out")
+        if sent is None or frames is None or not self.slow:
+            return None
+        return regime_ends(at_rate(sent, writes / self.slow), frames)
+
     def path(self, quantity: str, at: float) -> Estimate:
         """Of the data path at so many connections."""
         return estimate(PATH_FORMS[quantity], self.measured.data_path, at, size="connections")
--- a/snowwick/lab/capacity_tables.py
+++ b/snowwick/lab/capacity_tables.py
@@ -106,7 +106,7 @@
     if one.value is None:
         return one.why
     over = one.value / budget
-    said = f"open: {number(over)} of it" if one.past and over <= 1.0 else verdict(over)
+    said = f"open: {number(over)} of it" if (one.past or one.ends) and over <= 1.0 else verdict(over)
     return f"{one.said(form.unit)}, {said}; {one.stands}"
 
 
@@ -209,10 +209,12 @@
             continue
         row += [one.slopes(model.n), sizes_said(one.sizes)]
         laws = [at_rate(one, writes / model.slow) for writes in some]
-        for each in laws:
-            fleet = largest(each, budget)
+        for writes, each in zip(some, laws, strict=True):
+            fleet, ends = largest(each, budget), model.ends(writes) if form.full is not None else None
             past = f", were there no bound at {number(BOUND)}" if fleet >= BOUND else ""
             many = "any size" if fleet >= MOST_FLEET - 1 else f"{number(fleet)} members"
+            if ends is not None and fleet > ends:
+                many, past = f"{number(ends)} members, where frames are full and the law ends", ""
             row.append(f"{many}{past}" if fleet else "none")
         row += [_brackets(model, name, budget),
                 " and ".join(shown(each.at(model.n), form.unit) for each in laws)]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -309,6 +309,22 @@
     assert " and ".join(needs) in line and line.endswith("| 320 KB/s |")
 
 
+def test_the_law_ends_where_its_own_frames_are_full() -> None:
+    model = two_series()  # 30 frames a second
+    for writes, slope in ((1.0, 24.0), (0.125, 3.0)):
+        ends = model.ends(writes)
+        assert ends is not None and grown("bytes_out", ends, 900.0, 50.0, slope) <= 30.0 * wire.MOST < grown(
+            "bytes_out", ends + 1, 900.0, 50.0, slope)
+    one = model.of("everywhere_p99_s", 0.125)
+    assert one.ends == model.ends(0.125) and "past its regime" in one.stands
+    assert model.of("memory", 0.125).ends is None and model.of("idle_bytes_out", 0.125).ends is None
+    page = render(EMPTY, model.measured)
+    (line,) = [line for line in lines_of(page, "allowed") if line.startswith("| a change everywhere")]
+    assert f"| {number(model.ends(0.125) or 0)} members, where frames are full and the law ends |" in line
+    few = Model(merge([("simulated.json", simulated([row(n, bytes_out=2000.0) for n in SIZES]))]))
+    assert few.of("everywhere_p99_s").ends is None  # frames have room for it at the target
+
+
 def test_the_law_of_the_rare_series_is_tried_at_the_target_s_rate() -> None:
     page = render(EMPTY, two_series().measured)
     found = [line for line in lines_of(page, "by-rate") if line.startswith("| control bytes out")]
