--- a/snowwick/fleet/facts.py
+++ b/snowwick/fleet/facts.py
@@ -62,7 +62,7 @@
         return None
 
 
-class Facts:
+class View:
     """Reads a node's registers; ``members`` says whose still count."""
 
     def __init__(self, store: Store, members: Members) -> None:
--- a/snowwick/fleet/node.py
+++ b/snowwick/fleet/node.py
@@ -32,14 +32,14 @@
 
 
 @dataclass(slots=True)
-class Caught:
+class CaughtUp:
     """News: this balancer has what the others have, for the first time since it started or was alone."""
 
     after: float
 
 
 @dataclass(slots=True)
-class Twin:
+class DuplicateName:
     """News: another process has this balancer's name and started before it."""
 
     address: str
@@ -84,7 +84,7 @@
         self.counts = Counts()
         self.seq = 0
         self.out: list[tuple[str, bytes]] = []  # (address, datagram)
-        self.news: list[object] = []  # members.Change, Caught, Twin
+        self.news: list[object] = []  # members.Change, CaughtUp, DuplicateName
         self.pulling: dict[str, Pulling] = {}
         self.next_news = self.next_compare = self.next_join = self.next_greeting = 0.0
         self.began: float | None = None
@@ -294,7 +294,7 @@
             mine = self.store.owners[self.name].epoch
             if (frame.body.number, frame.boot) < (mine, me.boot) and not self.leaving:
                 self.leaving = True
-                self.news.append(Twin(frame.address))
+                self.news.append(DuplicateName(frame.address))
 
     def _take(self, entry: wire.Entry, now: float) -> None:
         if entry.owner == self.name:
@@ -429,7 +429,7 @@
     def _has_caught(self, now: float) -> None:
         if not self.caught and self.began is not None:
             self.caught = True
-            self.news.append(Caught(now - self.began))
+            self.news.append(CaughtUp(now - self.began))
 
     # -- a tool's question -------------------------------------------------------------------------------
 
--- a/snowwick/fleet/rights.py
+++ b/snowwick/fleet/rights.py
@@ -235,7 +235,7 @@
         outs[:] = [one for one in outs if one.number >= held.seen]
 
 
-class Desk:
+class Leases:
     """All budgets of one balancer, and when their registers have to be written anew."""
 
     def __init__(self, name: str, parts: Mapping[str, tuple[float, bool]], now: float) -> None:
--- a/snowwick/lab/hollow.py
+++ b/snowwick/lab/hollow.py
@@ -34,10 +34,10 @@
 
 from snowwick.fleet import facts
 from snowwick.fleet.clock import ms_of
-from snowwick.fleet.facts import Facts, Listed, Revision
+from snowwick.fleet.facts import Listed, Revision, View
 from snowwick.fleet.file import FleetFile, Links, Share
 from snowwick.fleet.members import DEAD, Change
-from snowwick.fleet.node import Caught, Twin
+from snowwick.fleet.node import CaughtUp, DuplicateName
 from snowwick.fleet.store import Store
 from snowwick.fleet.wire import Entry
 from snowwick.lab.workload import (
@@ -112,7 +112,7 @@
         super().__init__(Empty(process.loop), file, name, rng)
         self.process = process
         self.node.store = WatchedStore(name, self.node.store.owners[name].epoch, process)
-        self.facts = Facts(self.node.store, self.node.members)
+        self.view = View(self.node.store, self.node.members)
         self.node.seeds = []
         self.begun = False
         self.caught: float | None = None  # s from its start until it had what the others have
@@ -128,9 +128,9 @@
         for news in self.node.take_news():
             if isinstance(news, Change) and news.member.state == DEAD:
                 self.process.deaths.add((news.member.name, news.member.incarnation))
-            elif isinstance(news, Caught):
+            elif isinstance(news, CaughtUp):
                 self.caught = news.after
-            elif isinstance(news, Twin):
+            elif isinstance(news, DuplicateName):
                 self.end()
 
     def write(self, kind: int, key: str, value: bytes | None, left: float = 0.0) -> None:
--- a/snowwick/lab/scale_simulated.py
+++ b/snowwick/lab/scale_simulated.py
@@ -37,9 +37,9 @@
 from hdrh.histogram import HdrHistogram
 
 from snowwick.fleet import facts, wire
-from snowwick.fleet.facts import Facts
+from snowwick.fleet.facts import View
 from snowwick.fleet.members import DEAD, LONGER, PAUSE, SUSPICION, Change
-from snowwick.fleet.node import Caught
+from snowwick.fleet.node import CaughtUp
 from snowwick.lab.network import Faults, Machine, Network
 from snowwick.lab.workload import (
     Event,
@@ -287,7 +287,7 @@
         for news in machine.node.take_news():
             if isinstance(news, Change) and news.member.state == DEAD:
                 self.deaths.said(news.member, self.is_true(news.member, machine.name), self.now)
-            elif isinstance(news, Caught):
+            elif isinstance(news, CaughtUp):
                 for one in self.starting:
                     if one.name == machine.name and one.said is None:
                         one.said = news.after
@@ -523,7 +523,7 @@
                 # Before it started itself a member could hold nothing.
                 began = node.began if node.began is not None else self.now
                 self.log.late.add(self.now - max(began, history[at][2]) if at < len(history) else 0.0)
-            reader = Facts(node.store, node.members)
+            reader = View(node.store, node.members)
             clock = time.process_time()
             seen = reader.held(self.now).total()
             reader.verdicts(self.w.load_destinations, self.now)
--- a/snowwick/net/fleet.py
+++ b/snowwick/net/fleet.py
@@ -15,11 +15,11 @@
 
 from crowgap import interface as i
 from snowwick.fleet import facts
-from snowwick.fleet.facts import Facts, Health, Listed, Revision
+from snowwick.fleet.facts import Health, Listed, Revision, View
 from snowwick.fleet.file import FleetFile
 from snowwick.fleet.members import STATES, Change
-from snowwick.fleet.node import Caught, Node, Twin
-from snowwick.fleet.rights import RENEW, Desk
+from snowwick.fleet.node import CaughtUp, DuplicateName, Node
+from snowwick.fleet.rights import RENEW, Leases
 from snowwick.net.decider import Outcome, PoolNews, Silent, StepEnded, StepUp
 from snowwick.net.loop import Actor, Steps, Wait
 from snowwick.net.pool import parse_address
@@ -56,14 +56,14 @@
         self.node = Node(name, file.links.address or f"{host}:{port}", file.keys, file.links.seeds, rng,
                          self.wall_ms, file.links.period_ms / 1000.0)
         self.node.status = self.status
-        self.facts, self.health = Facts(self.node.store, self.node.members), Health(name)
+        self.view, self.health = View(self.node.store, self.node.members), Health(name)
         self.said: dict[int, tuple[int, float]] = {}  # own words on destinations, and when they were written
         self.left: frozenset[int] = frozenset()  # told by others to be leaving, and heeded
         self.next_share = self.next_count = 0.0
         self.counted = 0
         self.gone = False  # left the fleet; this balancer serves alone
         self.differ: frozenset[str] = frozenset()
-        self.desk: Desk | None = None
+        self.leases: Leases | None = None
         self.contracts: Contracts | None = None  # whose revision is told
         self.revision, self.parts = Revision(file.digest), 0
         self.next_rights = 0.0
@@ -125,10 +125,10 @@
                 one = news.member
                 self.log.event("fleet-member", "fleet: {member} is {state} (incarnation {incarnation})",
                                member=one.name, state=STATES[one.state], incarnation=one.incarnation)
-            elif isinstance(news, Caught):
+            elif isinstance(news, CaughtUp):
                 self.log.event("fleet-caught-up", "fleet: caught up after {seconds} s",
                                seconds=round(news.after, 2))
-            elif isinstance(news, Twin):
+            elif isinstance(news, DuplicateName):
                 self.log.event("fleet-twin", "fleet: {name} is at {address} already and started before; "
                                "leaving the fleet, serving alone", name=self.node.name,
                                address=news.address)
@@ -185,7 +185,7 @@
             watched = health.watched.setdefault(destination, facts.Watched())
             watched.served = max(watched.served, heard)
         health.forget(self.host.pool_config.addresses.__contains__)
-        verdicts = self.facts.verdicts(known, now)
+        verdicts = self.view.verdicts(known, now)
         words = health.words(verdicts, now)
         for destination, word in words.items():
             at = health.own[destination][1] if destination in health.own else now
@@ -204,7 +204,7 @@
         pool, source = self.host.pool_config, self.file.share.discovery
         leaving = [one for one, entry in pool.entries.items() if entry.state is not i.State.READY]
         self._write(facts.LIST, "", Listed(source, pool.version, leaving[-facts.LEAVING:]), now)
-        told = self.facts.leaving(source, pool.version, now)
+        told = self.view.leaving(source, pool.version, now)
         # Only what this balancer's own list has named is of interest, and nothing is sent on others' word.
         heed = {one for one in told if one in pool.entries and pool.entries[one].state is i.State.READY}
         fresh = heed - self.left
@@ -230,29 +230,29 @@
 
     def _rights(self, now: float, stage: ContractStage) -> None:
         """Move the contracts' budgets to where they are asked for; without a fleet each keeps its part."""
-        if self.desk is None:
-            self.desk = Desk(self.node.name, stage.budgets(), now)
-        desk, epoch = self.desk, self.node.store.owners[self.node.name].epoch
-        desk.change(stage.budgets(), now)
+        if self.leases is None:
+            self.leases = Leases(self.node.name, stage.budgets(), now)
+        leases, epoch = self.leases, self.node.store.owners[self.node.name].epoch
+        leases.change(stage.budgets(), now)
         if now >= self.next_rights:
             self.used, wanted = stage.wanted(max(SHARE, now - self.next_rights + RENEW))
             self.next_rights = now + RENEW
             for key, amount in wanted.items():
-                desk.budgets[key].demand(amount, now)
+                leases.budgets[key].demand(amount, now)
         boots = {one.name: self.node.store.owners[one.name].epoch for one in self.node.members.alive()
                  if one.name in self.node.store.owners}
-        asks, grants = self.facts.rights(now)
+        asks, grants = self.view.rights(now)
         for lender, start, key, grant in grants:
-            if key in desk.budgets:
-                desk.budgets[key].hear(lender, start, grant, epoch, now)
-        for key, ask in desk.asks(self.used, boots, now).items():
+            if key in leases.budgets:
+                leases.budgets[key].hear(lender, start, grant, epoch, now)
+        for key, ask in leases.asks(self.used, boots, now).items():
             self._write(facts.RIGHTS, f"ask:{key}", ask, now)
-        for key, one in desk.budgets.items():
+        for key, one in leases.budgets.items():
             told = asks.get(key, {})
             one.confirm({name: ask.holds for name, (_, ask) in told.items()}, epoch, stage.balancers - 1)
             for to, grant in one.grant(told, self.used.get(key, 0.0), now).items():
                 self._write(facts.RIGHTS, f"grant:{to}:{key}", grant, now)
-        stage.has(desk.targets(now))
+        stage.has(leases.targets(now))
 
     def _revision(self, now: float) -> None:
         stage = self.host.contract_stage
@@ -268,7 +268,7 @@
             self._write(facts.REVISION, f"{n:04}", Revision(mine.fleet, mine.contracts, parts[n])
                         if n < len(parts) else None, now)
         self.parts = len(parts)
-        others = self.facts.revisions(now)
+        others = self.view.revisions(now)
         differ = frozenset(name for name, one in others.items()
                            if (one.fleet, one.contracts) != (mine.fleet, mine.contracts))
         if differ - self.differ:
@@ -305,11 +305,11 @@
             facts.KINDS[kind]: sum(1 for _ in self.node.store.standing(kind)) for kind in facts.KINDS},
             "contracts": self.revision.contracts,
             "revisions": {name: " ".join(filter(None, (one.fleet, one.contracts)))
-                          for name, one in self.facts.revisions(now).items()},
+                          for name, one in self.view.revisions(now).items()},
             "kept_away_from": [str(one) for one in self.health.believed],
             "rights": {key: round(amount, 2) for key, amount in (
-                self.desk.targets(now) if self.desk is not None else {}).items()},
-            "list_version": self.host.pool_config.version, "held_elsewhere": self.facts.held(now).total()}
+                self.leases.targets(now) if self.leases is not None else {}).items()},
+            "list_version": self.host.pool_config.version, "held_elsewhere": self.view.held(now).total()}
 
 
 def _leaving(entry: i.BackendEntry) -> i.BackendEntry:
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -270,7 +270,7 @@
         store.take(Entry("x", 1, n + 1, facts.HEALTH, str(n), facts.pack(facts.HANGING), 0, 6000), 0.0)
     node = Node("me", "me", [KEY], [], random.Random(1), lambda: 1e12)
     node.members.met("x", "x", 1, 1, 0.0)
-    believed = facts.Facts(store, node.members)
+    believed = facts.View(store, node.members)
     assert not believed.verdicts(12, 1.0) and len(believed.verdicts(24, 1.0)) == 6
     assert not believed.verdicts(24, 7.0)  # too old
 
