--- a/snowwick/lab/capacity_model.py
+++ b/snowwick/lab/capacity_model.py
@@ -551,6 +551,7 @@
         if self.value is None:
             return self.why
         said = "not tested" if self.left is None else "held" if self.left.held else "MISSED"
+        said += " across the change of regime" if self.left is not None and self.left.across else ""
         said += "; cut to what frames hold, counted" if self.capped else ""
         said += f"; past its regime, which by the fit ends at {number(self.ends)}" if self.ends else ""
         return said + ("; past a bound" if self.past else "")
@@ -707,7 +708,8 @@
                             key=lambda left: abs(left.error), default=None)
                 one = replace(core, value=core.value + heed.value, left=worse, fit=None)
         ends = None
-        if form_of(quantity).full is not None and not one.capped and full_from(rows) is None:
+        if form_of(quantity).full is not None and not one.capped and \
+                full_from(rows, of_part(quantity)) is None:
             sent, frames = law(FORMS["bytes_out"], rows), law(FORMS["datagrams_out"], rows)
             if sent is not None and frames is not None and sent.at(self.n) > frames.at(self.n) * wire.MOST:
                 ends = regime_ends(sent, frames)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -255,6 +255,13 @@
     assert "either, one law" in line and "| held |" in line
 
 
+def test_what_is_said_of_a_figure_names_a_test_across_the_change() -> None:
+    model = Model(merge([("simulated.json", simulated(regimes()))]))
+    assert model.of("bytes_out").stands.startswith("MISSED across the change of regime")
+    assert model.of("core").stands.startswith("held across the change of regime")
+    assert model.of("memory").stands.startswith("held; ")
+
+
 def test_a_miss_within_a_regime_stays_in_the_first_table() -> None:
     rows = [row(n) for n in SIZES]
     rows[-1]["bytes_out"] *= 1.5
@@ -321,6 +328,12 @@
     page = render(EMPTY, model.measured)
     (line,) = [line for line in lines_of(page, "allowed") if line.startswith("| a change everywhere")]
     assert f"| {number(model.ends(0.125) or 0)} members, where frames are full and the law ends |" in line
+    full = [{**one, "burst": {**one, "everywhere_p99_s": 0.1 * math.log2(one["members"])}}
+            for one in model.measured.series[0.125]]
+    full.append(row(512, bytes_out=30.0 * wire.MOST, burst=row(512, everywhere_p99_s=0.9)))
+    both = Model(merge([("simulated.json", simulated(full, workload={"load_writes": 0.125}))]))
+    assert both.of("everywhere_p99_s", 0.125).ends is None
+    assert both.of("burst.everywhere_p99_s", 0.125).ends == model.ends(0.125)  # its own frames were not full
     few = Model(merge([("simulated.json", simulated([row(n, bytes_out=2000.0) for n in SIZES]))]))
     assert few.of("everywhere_p99_s").ends is None  # frames have room for it at the target
 
