--- a/snowwick/lab/capacity_tables.py
+++ b/snowwick/lab/capacity_tables.py
@@ -402,7 +402,7 @@
          "(`_write`), so that rights stop moving (read in the code and computed, not played)",
          f"{number(rights_bound())} members with names of 13 characters, {number(rights_bound(3))} with "
          "names of 3"],
-        ["the news that one has caught up", "`node.Caught`", "needs two equal roots, and somebody's loads "
+        ["the news that one has caught up", "`node.CaughtUp`", "needs two equal roots, and somebody's loads "
          "are on their way at any moment: `fleet-caught-up` is not said", _caught(model)],
         ["reading the registers", "`net/fleet.py` (SHARE), `store.Store.standing`",
          "all of everybody's, four times a second, however rarely they are written", _reading(model)],
