--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -27,6 +28,7 @@
 STARTED = time.monotonic()
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+DESCRIPTORS = 4096  # what a case needs for its clients and servers, which are in one process
 
 
 def now() -> float:
@@ -43,6 +45,14 @@
             return port
 
 
+def allow_descriptors() -> None:
+    """Raise this process's own soft limit of descriptors as far as it is allowed to."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < DESCRIPTORS:
+        wanted = DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, DESCRIPTORS)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 class Record:
     """Writes `record.txt` of a case: what was sent, answered and run."""
 
@@ -230,6 +240,7 @@
 
 def main(case: Path, test: Callable[[Record, Program], Awaitable[tuple[int, str]]]) -> None:
     """Run a case's test and exit with its verdict."""
+    allow_descriptors()
     record = Record(case)
 
     async def run() -> tuple[int, str]:
