Name the record's path in each case's test

Cause: the tests named their folder only, and the file's name stood in the shared stand-ins, so that a case did not show where its record is.

Change: each test passes the path of its record.txt. What the cases do and check is the same.

--- a/review/3/test.py
+++ b/review/3/test.py
@@ -170,4 +170,4 @@
     return (BROKEN if twice else HELD), summary
 
 
-main(Path(__file__).resolve().parent, test)
+main(Path(__file__).resolve().parent / "record.txt", test)
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -54,10 +54,10 @@
 
 
 class Record:
-    """Writes `record.txt` of a case: what was sent, answered and run."""
+    """Writes the record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder: Path) -> None:
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self.file = path.open("w", encoding="utf-8")
         self.line("test", f"TROUBLE={int(TROUBLE)}")
 
     def line(self, who: str, text: str) -> None:
@@ -238,10 +238,10 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(case: Path, test: Callable[[Record, Program], Awaitable[tuple[int, str]]]) -> None:
-    """Run a case's test and exit with its verdict."""
+def main(record_path: Path, test: Callable[[Record, Program], Awaitable[tuple[int, str]]]) -> None:
+    """Run a case's test, write its record and exit with its verdict."""
     allow_descriptors()
-    record = Record(case)
+    record = Record(record_path)
 
     async def run() -> tuple[int, str]:
         program = Program(record)
