Forward a client's id and key unchanged when the wait in its opening line is set

Each attempt had another key, and servers did not recognise the repeat. Change: Opening.with_wait formats the line from its parsed parts; the line's text is no longer kept. This works for any id and key, because no text is searched: parse_opening splits the line at its three spaces, and the values at their commas, which none of the parts may hold. Tests: test_repeat_of_a_request_is_sent_with_the_clients_id_and_key failed in each of its four forms before the change ("got b'OPEN 1 p=north,d=1180,truck-12 d=1200,c=feed,t=n,g=g1'"), and so did test_resumed_connection_is_sent_with_the_clients_id_and_key; two properties in tests/test_lines.py.

--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -292,7 +292,7 @@
                 self,
                 destination,
                 address,
-                lines.with_wait(self.request.opening.line, wait_ms),
+                self.request.opening.with_wait(wait_ms),
                 wait_ms / 1000.0,
                 self.host.connect_timeout_s,
                 self.host.delay_monitor,
--- a/snowwick/net/lines.py
+++ b/snowwick/net/lines.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 MAX_LINE_BYTES = 4096  # including the line end
@@ -17,7 +17,6 @@
 MOVE = b"MOVE\r\n"
 ERR = b"ERR\r\n"
 NO = b"NO\r\n"
-_WAIT_VALUE = re.compile(rb"(?<=[ ,])d=\d+(?=,|\r\n$)")
 _UP_LINE = re.compile(rb"UP [ -~]*[!-~]\r\n")
 _WORD = re.compile(r"[!-~]+")
 _NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_.-]{0,31}")
@@ -55,16 +54,25 @@
 class Opening:
     """A parsed opening line, the first line of a client's request."""
 
-    line: bytes
     id: str
     key: str
-    values: dict[str, str] = field(default_factory=dict)
+    values: dict[str, str]  # in the order of the line
 
     @property
     def wait_ms(self) -> int | None:
         """How long the client waits for the answer, if the line says so."""
         return int(self.values["d"]) if "d" in self.values else None
 
+    def with_wait(self, wait_ms: float) -> bytes:
+        """Format the opening line for a destination: as the client sent it, with another value of ``d``.
+
+        Destinations accept no other change. The line is formatted from its parsed parts, since an id and a
+        key may hold any text, including text that looks like a value.
+        """
+        values = {**self.values, "d": str(max(1, int(wait_ms)))}
+        pairs = ",".join(f"{name}={value}" for name, value in values.items())
+        return f"OPEN {self.id} {self.key} {pairs}".encode("ascii") + LINE_END
+
 
 def take_lines(buffer: bytearray) -> bytes:
     """Remove all whole lines from the buffer; raises MalformedLine if a line is longer than the limit."""
@@ -91,7 +99,10 @@
 
 
 def parse_opening(line: bytes) -> Opening:
-    """Parse ``OPEN ID KEY name=value,...``; raises MalformedLine."""
+    """Parse ``OPEN ID KEY name=value,...``; raises MalformedLine.
+
+    Only lines are accepted that ``Opening.with_wait`` formats again byte for byte, except for ``d``.
+    """
     if not line.endswith(LINE_END):
         raise MalformedLine("opening line does not end in CRLF")
     try:
@@ -112,7 +123,7 @@
         values[name] = value
     if max(len(values.get("g", "")), len(values.get("at", ""))) > MAX_NAME_LENGTH:
         raise MalformedLine("value of g or at is too long")
-    return Opening(line, words[1], words[2], values)
+    return Opening(words[1], words[2], values)
 
 
 def check_opening(opening: Opening, deadlines: Mapping[str, float], tenants: Collection[str]) -> None:
@@ -134,11 +145,6 @@
         raise MalformedLine("value of d is too long for the deadline of the class")
 
 
-def with_wait(line: bytes, wait_ms: float) -> bytes:
-    """Replace the value of ``d`` in an opening line; destinations accept no other change."""
-    return _WAIT_VALUE.sub(b"d=%d" % max(1, int(wait_ms)), line, count=1)
-
-
 def busy_line(retry_after_ms: float = 0.0) -> bytes:
     """Format a busy reply with its retry delay, which is left out below 1 ms."""
     return b"BUSY %d\r\n" % round(retry_after_ms) if retry_after_ms >= 1.0 else b"BUSY\r\n"
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,55 @@
+"""Properties of the line protocol's pure functions (snowwick/net/lines.py)."""
+
+from __future__ import annotations
+
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from snowwick.net import lines
+
+# An id and a key may be any word; pieces that look like values of the line are frequent here
+WORDS = st.lists(
+    st.sampled_from(["d=7", "d=1200", "g=a", ",", "=", "%d", "\\1", "truck-12"])
+    | st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1, max_size=8),
+    min_size=1,
+    max_size=6,
+).map("".join)
+# Values of an opening line beside d: any text without a comma, under names that the balancer does not read
+OTHER_VALUES = st.dictionaries(
+    st.from_regex(r"[A-Z_][A-Za-z0-9_.-]{0,7}", fullmatch=True),
+    WORDS.map(lambda word: word.replace(",", ";")),
+    max_size=4,
+)
+
+
+@given(WORDS, WORDS, OTHER_VALUES, st.integers(0, 4), st.integers(0, 9999), st.integers(1, 9999))
+@example("1", "p=x,d=4,truck-12", {}, 0, 1200, 1180)
+@example("1,d=4,x", "k1", {}, 0, 1200, 1180)
+@example("1", "d=4,x", {"X": "d=5"}, 1, 1200, 1180)
+def test_only_the_wait_of_an_opening_line_is_changed(
+    request_id: str, key: str, others: dict[str, str], position: int, wait_ms: int, forwarded_ms: int
+) -> None:
+    """A changed id or key makes a repeat unrecognisable to destinations: it takes effect twice."""
+    pairs = [f"{name}={value}" for name, value in others.items()]
+
+    def line(wait: int) -> bytes:
+        values = ",".join([*pairs[:position], f"d={wait}", *pairs[position:]])
+        return f"OPEN {request_id} {key} {values}\r\n".encode()
+
+    assert lines.parse_opening(line(wait_ms)).with_wait(forwarded_ms) == line(forwarded_ms)
+
+
+@given(st.integers(0, 60), st.integers(0, 2), st.text(st.sampled_from(" ,=d7\t\r\x00\x7f"), max_size=2))
+def test_accepted_opening_line_is_formatted_again_byte_for_byte(
+    position: int, deleted: int, inserted: str
+) -> None:
+    """A parser that accepted another spelling would have the balancer send a line that no client sent."""
+    original = "OPEN 9b1f key-12 y=d,d=1200,r=1,c=feed,x=d=5,h=0.5\r\n"
+    line = (original[:position] + inserted + original[position + deleted :]).encode()
+    try:
+        opening = lines.parse_opening(line)
+    except lines.MalformedLine:
+        return
+    if "d" in opening.values:
+        line = line.replace(f",d={opening.values['d']},".encode(), b",d=1200,")
+        assert opening.with_wait(1200) == line
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -194,6 +194,36 @@
     )
 
 
+@pytest.mark.parametrize(
+    "id_and_key",
+    [
+        pytest.param("1 p=north,d=4,truck-12", id="in the key"),
+        pytest.param("1 d=4,truck-12", id="at the start of the key"),
+        pytest.param("1,d=4,x truck-12", id="in the id"),
+        pytest.param("d=4,x d=5,x", id="at the start of both"),
+    ],
+)
+def test_repeat_of_a_request_is_sent_with_the_clients_id_and_key(id_and_key: str) -> None:
+    """Destinations recognise a repeat by its key; under a changed one the request takes effect twice."""
+    feed_class = {"name": "feed", "aim": 300.0, "deadline": 1200.0, "keyScope": "all", "memorySpan": 5000.0}
+    settings = {**SETTINGS, "classes": [{**feed_class, "effect": "idempotency_key"}]}
+    with contextlib.closing(World(settings=settings)) as world:
+        world.play(
+            f"c1 send OPEN {id_and_key} d=1200,c=feed,t=n,g=g1\n"
+            f"d1 expect OPEN {id_and_key} d=1[01][0-9][0-9],c=feed,t=n,g=g1\nd1 reset\n"
+            f"d2 expect OPEN {id_and_key} d=1[01][0-9][0-9],c=feed,t=n,g=g1\nd2 send UP r2\nc1 expect UP r2"
+        )
+
+
+def test_resumed_connection_is_sent_with_the_clients_id_and_key(world: World) -> None:
+    """A destination finds the connection that it already has by the id and key of its opening line."""
+    world.play(
+        "c1 send OPEN 1,d=4,x p=north,d=5,x d=1200,c=feed,t=n,at=s-1\n"
+        "d1 expect OPEN 1,d=4,x p=north,d=5,x d=1[0-9][0-9][0-9],c=feed,t=n,at=s-1\n"
+        "d1 send UP r\nc1 expect UP r"
+    )
+
+
 def test_shutdown_moves_all_clients_without_waiting_for_them(world: World) -> None:
     """On a planned restart all clients are moved, new ones are answered, and it ends before SIGKILL."""
     world.play(UP)
