Count a server's lines by their ends, not by carriage returns in their text

Cause: Destination.on_lines split relayed data with bytes.splitlines, which also splits at a lone CR. One line was recorded as two replies, so that nothing was waited for any more; "x\rLOAD 5" was reported as a load, and "x\rMOVE" taken for the server's last line. The client's lines are counted by LF. Ruled out: the delay monitor (probe: 0 lines pending after one such reply to two lines; with the lines split at LF, 1 pending and the client moved after 5.5 s); the relay, which passes the text on unchanged. Also read for the same cause, without a finding: take_line and take_lines (LF only), the parsers of probes, loads and load reports, discovery's JSON and addresses, log lines (fields are never templates), the fingerprints and placement hashes of keys. Change: lines.split_lines splits at LF alone. Tests: test_reply_with_a_carriage_return_in_its_text_answers_one_line failed in both forms before the change ("c1 expect MOVE: the expected event did not occur in time"); a property of split_lines.

--- a/snowwick/net/destination.py
+++ b/snowwick/net/destination.py
@@ -165,7 +165,7 @@
 
     def on_lines(self, data: bytes) -> None:
         now = self.loop.clock()
-        for line in data.splitlines(keepends=True):
+        for line in lines.split_lines(data):
             self.last_reply_kind = lines.reply_kind(line)
             if self.last_reply_kind is not Reply.LOAD:
                 self.timing.record_reply(now)
--- a/snowwick/net/lines.py
+++ b/snowwick/net/lines.py
@@ -86,6 +86,17 @@
     return taken
 
 
+def split_lines(data: bytes) -> list[bytes]:
+    """Split relayed data into its lines, without the LF that ends each; the last one may have had none.
+
+    ``bytes.splitlines`` would also split at a CR in the text of a line.
+    """
+    pieces = data.split(b"\n")
+    if not pieces[-1]:
+        pieces.pop()
+    return pieces
+
+
 def take_line(buffer: bytearray) -> bytes | None:
     """Remove one whole line from the buffer, or return None; raises MalformedLine if it is too long."""
     end = buffer.find(b"\n", 0, MAX_LINE_BYTES) + 1
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -53,3 +53,16 @@
     if "d" in opening.values:
         line = line.replace(f",d={opening.values['d']},".encode(), b",d=1200,")
         assert opening.with_wait(1200) == line
+
+
+@given(
+    st.lists(st.binary(max_size=6).map(lambda text: text.replace(b"\n", b"\r")), max_size=5), st.booleans()
+)
+@example([b"a\rLOAD 5", b"a\rMOVE", b"\r"], True)
+def test_lines_are_split_at_their_ends_only(texts: list[bytes], last_has_end: bool) -> None:
+    """Text after a carriage return inside a line, taken for a line, counts as a reply, a load or an end."""
+    data = b"".join(text + b"\n" for text in texts)
+    if texts and not last_has_end:
+        data = data[:-1]
+        texts = texts if texts[-1] else texts[:-1]
+    assert lines.split_lines(data) == texts
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -186,6 +186,16 @@
     )
 
 
+@pytest.mark.parametrize("text", ["a\rb", "\ra\r"])
+def test_reply_with_a_carriage_return_in_its_text_answers_one_line(world: World, text: str) -> None:
+    """Counted as two replies, it hides an unanswered line: a client of a hung destination is not moved."""
+    world.service.delay_monitor.report = lambda _: None
+    world.play(UP + "c1 send M 1\nc1 send M 2\nd1 expect M 1\nd1 expect M 2")
+    world.send("d1", text)
+    world.expect("c1", text)
+    world.play("wait 5400\nc1 quiet\nwait 200\nc1 expect MOVE\nc1 end\nd1 end")
+
+
 def test_opening_line_is_forwarded_with_only_its_wait_changed(world: World) -> None:
     """Destinations answer SYNTAX to an opening line that differs from the client's, which voids a run."""
     world.play(
