Receive grants for a balancer whose name holds a colon

A name (GW_NAME) may be any text, HOST:PORT for instance; clients of a linked balancer with such a name got BUSY (over-connections) while the budget that it had been lent stayed unused. Cause: RegisterView.requests_and_grants split the key grant:BORROWER:BUDGET at its first colon, so that the borrower did not recognise its own name. Requests hold no member's name in their key, and budgets' names hold no colon, since those of teams are checked. Change: the key is split at its last colon; the key itself is as before. Tests: test_a_grant_is_received_whatever_the_borrowers_name_holds failed for three of its four names before the change (grants == []).

--- a/snowwick/fleet/registers.py
+++ b/snowwick/fleet/registers.py
@@ -161,7 +161,8 @@
             if action == "ask" and (request := unpack(data, LeaseRequest)) is not None:
                 requests[rest][entry.owner] = entry.epoch, request
             elif action == "grant":
-                borrower, _, budget = rest.partition(":")
+                # A member's name may hold any text, but a budget's name holds no colon.
+                borrower, _, budget = rest.rpartition(":")
                 if borrower == self.store.name and (grant := unpack(data, Grant)) is not None:
                     grants.append((entry.owner, entry.epoch, budget, grant))
         return requests, grants
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -332,6 +332,19 @@
     assert not register_view.verdicts(24, 7.0)  # the registers have expired
 
 
+@pytest.mark.parametrize("name", ["b", "b:8081", ":", "fleet.connections:b"])
+def test_a_grant_is_received_whatever_the_borrowers_name_holds(name: str) -> None:
+    """A lent budget that its borrower does not see is used by neither of the two."""
+    store = Store(name, 1)
+    grant = Grant(epoch=1, request_number=1, amount=4.0, target_amount=4.0)
+    key = f"grant:{name}:fleet.connections"
+    store.merge_entry(Entry("x", 7, 1, registers.RIGHTS, key, registers.pack(grant), 0, 6000), 0.0)
+    node = Node(name, name, [FLEET_KEY], [], random.Random(1), lambda: 1e12)
+    node.members.record_contact("x", "x", 1, 1, 0.0)
+    _, grants = registers.RegisterView(store, node.members).requests_and_grants(1.0)
+    assert grants == [("x", 7, "fleet.connections", grant)]
+
+
 def test_a_balancer_that_is_served_ignores_and_contradicts_a_verdict() -> None:
     health, verdicts = HealthTracker("me"), {1: ({"x"}, set[str]()), 2: ({"x"}, {"y"})}
     assert health.update_avoided(verdicts, 10.0) == [1]
