Refuse a contracts file with a team named fleet, whose budgets would be those of all teams

With a team named fleet and a ceiling of 80 connections, all teams together got 80 in place of the fleet's 100, and the others were refused while there was room. Cause: budgets are kept by name, TEAM.connections and fleet.connections. balancer_budgets and fleet_limits wrote those of a team named fleet over those of all teams. Ruled out: the enforcement of limits (balancer_limits of one file: 100 with the team named x, 80 with it named fleet). Other names for the budgets were not chosen: linked balancers of two versions would not lend to each other. Change: such a name is a fault with its key path; the limits' names are constants. Tests: test_team_with_the_name_of_the_fleets_budgets_is_a_fault failed before the change ("DID NOT RAISE"); it also holds the limit for names that contain the reserved one.

--- a/snowwick/broker/contract.py
+++ b/snowwick/broker/contract.py
@@ -22,6 +22,10 @@
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0.0)]
 Fraction = Annotated[float, msgspec.Meta(gt=0.0, le=1.0)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0.0)]
+# Budgets of all teams together; those of one team are named TEAM.connections and TEAM.setups
+FLEET_CONNECTIONS = "fleet.connections"
+FLEET_SETUPS = "fleet.setups"
+RESERVED_TEAM_NAME = "fleet"  # the budgets of a team of this name would be those of all teams
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
 
 
@@ -215,6 +219,8 @@
     reader: TomlReader, fleet: Fleet, pools: dict[str, Match], teams: dict[str, Team]
 ) -> None:
     """Check the conditions that involve several keys of the file."""
+    if RESERVED_TEAM_NAME in teams:
+        reader.add_fault(f"teams.{RESERVED_TEAM_NAME}", "is reserved for the limits of all teams together")
     team_of_tenant: dict[str, str] = {}
     for name, team in teams.items():
         path = f"teams.{name}"
@@ -326,7 +332,7 @@
 def fleet_limits(contracts: Contracts) -> dict[str, float]:
     """The upper limits of the whole fleet and of each team, in connections and setups a second, by budget."""
     fleet = contracts.fleet
-    limits = {"fleet.connections": float(fleet.connections), "fleet.setups": fleet.setups_per_s}
+    limits = {FLEET_CONNECTIONS: float(fleet.connections), FLEET_SETUPS: fleet.setups_per_s}
     for name, team in contracts.teams.items():
         max_connections = team.ceiling.connections
         max_setups_per_s = team.ceiling.setups_per_s
@@ -351,8 +357,8 @@
     """
     connections, team_parts = balancer_parts(contracts, balancers, index)
     budgets: dict[str, tuple[float, bool]] = {
-        "fleet.connections": (connections, True),
-        "fleet.setups": (contracts.fleet.setups_per_s / balancers, False),
+        FLEET_CONNECTIONS: (connections, True),
+        FLEET_SETUPS: (contracts.fleet.setups_per_s / balancers, False),
     }
     for name, part in team_parts.items():
         budgets[f"{name}.connections"] = part.connections[1], True
@@ -400,8 +406,8 @@
             },
         )
     return BalancerLimits(
-        current_parts["fleet.connections"],
-        current_parts["fleet.setups"],
+        current_parts[FLEET_CONNECTIONS],
+        current_parts[FLEET_SETUPS],
         teams,
         (fleet.load or math.inf) / balancers,
         fleet.burst_s,
--- a/tests/test_contract.py
+++ b/tests/test_contract.py
@@ -86,6 +86,18 @@
     assert any(line.startswith(start) and rest in line for line in caught.value.faults), caught.value.faults
 
 
+def test_team_with_the_name_of_the_fleets_budgets_is_a_fault() -> None:
+    """Accepted, such a team's ceiling would replace the limit of all teams together."""
+    text = VALID.replace("teams.x", "teams.fleet")
+    with pytest.raises(BadContracts) as caught:
+        parse(text, ["feed"], ["t1", "t2", "t3"])
+    assert [line.split(":")[0] for line in caught.value.faults] == ["teams.fleet"]
+    # Any other name leaves the limit as it is, also one that only holds the reserved name
+    for name in ("x", "fleets", "fleet.connections", "a.fleet"):
+        limits = balancer_limits(parse(VALID.replace("teams.x", f'teams."{name}"')), 1, 0)
+        assert (limits.connections, limits.setups_per_s) == (100, 50.0)
+
+
 def test_all_faults_are_reported_together() -> None:
     with pytest.raises(BadContracts) as caught:
         parse(VALID.replace("share = 0.5", "share = 7.0").replace("weight = 3", "weight = -3"))
