Move the reading of discovery's lists out of the module that calls discovery

Need: net/pool.py parsed lists and ran the HTTP long poll (docs/design.md, modules to split). Ruled out: a new error for unusable lists, since the log's field names CallFailed.

--- a/snowwick/config.py
+++ b/snowwick/config.py
@@ -13,7 +13,7 @@
 
 from crowgap.benchlink import load_field_index, settings_from
 from crowgap.interface import Settings
-from snowwick.net.pool import parse_address
+from snowwick.net.pool_config import parse_address
 
 DEFAULT_SOCKETS = 1024
 DEFAULT_MESSAGE_AIM_MS = 100.0
--- a/snowwick/lab/member_host.py
+++ b/snowwick/lab/member_host.py
@@ -58,7 +58,7 @@
 from snowwick.net.decider import DestinationSilent, PoolUpdate
 from snowwick.net.fleet import FleetLink
 from snowwick.net.loop import Actor, Coroutine, Loop, Wait
-from snowwick.net.pool import PoolConfig
+from snowwick.net.pool_config import PoolConfig
 
 MAX_HISTOGRAM_MS = 3_600_000  # one hour, the largest value that the histograms record
 LOAD_AGE_SAMPLE_INTERVAL_S = 1.0
--- a/snowwick/net/fleet.py
+++ b/snowwick/net/fleet.py
@@ -25,7 +25,7 @@
 from snowwick.fleet.rights import RENEW_INTERVAL_S, Leases
 from snowwick.net.decider import DestinationSilent, Outcome, PoolUpdate, RouteStepEnded, RouteStepEstablished
 from snowwick.net.loop import Actor, Coroutine, Wait
-from snowwick.net.pool import parse_address
+from snowwick.net.pool_config import parse_address
 
 if TYPE_CHECKING:
     from snowwick.broker.contract import Contracts
--- a/snowwick/net/host.py
+++ b/snowwick/net/host.py
@@ -13,7 +13,7 @@
     from snowwick.net.contracts import ContractStage
     from snowwick.net.decider import DestinationSilent, PoolUpdate
     from snowwick.net.loop import Loop
-    from snowwick.net.pool import PoolConfig
+    from snowwick.net.pool_config import PoolConfig
 
 
 class FleetHost(Protocol):
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -32,7 +32,8 @@
 from snowwick.net.loop import Actor, Coroutine, Loop, Wait
 from snowwick.net.path import CapacityStage, DeciderStage, OpeningStage, Request, RequestPath
 from snowwick.net.peer import READ_SIZE_BYTES
-from snowwick.net.pool import CallFailed, DiscoveryAddressChanged, Pool, PoolConfig, WatchPool
+from snowwick.net.pool import DiscoveryAddressChanged, Pool, WatchPool
+from snowwick.net.pool_config import CallFailed, PoolConfig
 from snowwick.net.pool_deciders import PoolDeciders
 from snowwick.net.probe import Probe
 from snowwick.net.signals import SignalSockets
--- a/snowwick/net/status_client.py
+++ b/snowwick/net/status_client.py
@@ -10,7 +10,7 @@
 
 from snowwick.fleet import wire
 from snowwick.fleet.file import FleetFile
-from snowwick.net.pool import parse_address
+from snowwick.net.pool_config import parse_address
 
 MAX_TRIES = 5  # times that one part of the status is requested
 REPLY_TIMEOUT_S = 0.4  # after which a part is requested again
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,8 @@
 
 from snowwick.net import pool
 from snowwick.net.decider import PoolUpdate
-from snowwick.net.pool import WatchPool, destination_number
+from snowwick.net.pool import WatchPool
+from snowwick.net.pool_config import destination_number
 
 CLOCK_STEP_MS = 10.0
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,7 @@
 from snowwick.net.destination import Destination
 from snowwick.net.front import EvictIdle, Front, ShutdownEnding
 from snowwick.net.loop import Actor, Coroutine
-from snowwick.net.pool import destination_number
+from snowwick.net.pool_config import destination_number
 from snowwick.net.service import Service
 
 OPEN = "OPEN 1 k1 d=1200,c=feed,t=n,g=g1"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -25,7 +25,8 @@
     message_delay,
 )
 from snowwick.net.loop import Loop
-from snowwick.net.pool import WatchPool, destination_number
+from snowwick.net.pool import WatchPool
+from snowwick.net.pool_config import destination_number
 from snowwick.net.service import Acceptor
 
 OPEN = """
