--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -17,13 +16,6 @@
 CLOCK_STEP_MS = 10.0
 
 
-@pytest.fixture
-def world() -> Iterator[World]:
-    world = World()
-    yield world
-    world.close()
-
-
 def subscribe_once(world: World) -> list[PoolUpdate]:
     """Subscribe to changes once and never again, however the call ends, and return the updates."""
     updates: list[PoolUpdate] = []
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import pytest
 from wire import SETTINGS, World
@@ -24,13 +24,6 @@
 UP = f"c1 send {OPEN}\nd1 expect OPEN 1 *\nd1 send UP r1\nc1 expect UP r1\n"
 
 
-@pytest.fixture
-def world() -> Iterator[World]:
-    scenario_world = World()
-    yield scenario_world
-    scenario_world.close()
-
-
 def front_of(world: World) -> Front:
     (front,) = world.service.fronts
     return front
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -27,7 +27,7 @@
 import termios
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, ClassVar
 
 from snowwick.broker.contract import Contracts, parse
 from snowwick.config import Config, check
@@ -45,6 +45,20 @@
 }
 
 
+# Scenarios that others begin with: a request that waits for its answer, and an established connection
+OPEN = """
+    c1 send OPEN 1 k1 d=1200,c=feed,t=n,g=g1
+    d1 expect OPEN 1 k1 d=*,c=feed,t=n,g=g1
+"""
+UP = (
+    OPEN
+    + """
+    d1 send UP r1
+    c1 expect UP r1
+"""
+)
+
+
 def open_listener() -> socket.socket:
     """Open a non-blocking listening socket on a free loopback port."""
     sock = socket.create_server(("127.0.0.1", 0))
@@ -109,6 +123,8 @@
 class World:
     """One balancer, the destinations ``s-1`` and ``s-2`` at one address, and discovery, all in one thread."""
 
+    not_closed: ClassVar[set[World]] = set()
+
     def __init__(self, contracts_text: str = "", **config_changes: Any) -> None:
         """Start the balancer.
 
@@ -145,6 +161,7 @@
             read_contracts=self.read_contracts if contracts_text else None,
         )
         self.loop = self.service.loop
+        self.not_closed.add(self)
         self.service.start()
 
     def read_contracts(self) -> Contracts:
@@ -162,6 +179,7 @@
         return {"id": name, "addr": address_of(sock), "state": state, "kind": kind}
 
     def close(self) -> None:
+        self.not_closed.discard(self)
         self.loop.close()
         for sock in [
             *self.sockets.values(),
