--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,5 @@
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0: no restart.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x .venv/bin/python ] || exit 2
+PYTHONPATH=review/cast .venv/bin/python -c "import stage" || exit 2
 PYTHONPATH=review/cast exec .venv/bin/python review/8/case.py
