Name the record's path in each case, and pass it to the stage

Cause: only the shared stage named record.txt, so nothing in a case's own folder showed that it is written.

The checks and bounds are as they were.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -162,4 +162,4 @@
     return summary
 
 
-play(Path(__file__).resolve().parent, scenario)
+play(Path(__file__).resolve().parent / "record.txt", scenario)
--- a/review/cast/stage.py
+++ b/review/cast/stage.py
@@ -318,11 +318,11 @@
 class Stage:
     """The parts of one play, its temporary folder and its record."""
 
-    def __init__(self, case: Path, trouble: bool) -> None:
+    def __init__(self, record: Path, trouble: bool) -> None:
         self.trouble = trouble
         self.folder = Path(tempfile.mkdtemp(prefix="snowwick-case-"))
         self.started_at = time.monotonic()
-        self.record_file = (case / "record.txt").open("w")
+        self.record_file = record.open("w")
         self.servers: list[Server] = []
         self.balancers: list[Balancer] = []
         self.discovery = Discovery(self)
@@ -425,9 +425,12 @@
     return request_id, answer
 
 
-def play(case: Path, scenario: Callable[[Stage], Coroutine[Any, Any, str]]) -> None:
-    """Play a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
-    stage = Stage(case, os.environ.get("TROUBLE", "1") != "0")
+def play(record: Path, scenario: Callable[[Stage], Coroutine[Any, Any, str]]) -> None:
+    """Play a case with its record in this file, and exit.
+
+    The code is 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+    """
+    stage = Stage(record, os.environ.get("TROUBLE", "1") != "0")
 
     def stop(*_: object) -> None:
         raise CannotRun("stopped by a signal")
