Write a repeat only where a stall of 0.15 s still leaves it in its window

Balancer._may_repeat allowed for connect_timeout and one tick (77 ms), so 514 + 77 < 600 passed. The process was stopped after that reading of the clock; when it went on, peer.connect saw the socket writable and Destination wrote the opening line without reading the clock again, at 654 ms or later, also past its own connect deadline.

--- a/crowgap/interface.py
+++ b/crowgap/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -36,7 +37,7 @@
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"  # the backend broke the connection
     CANCELLED = "cancelled"  # the client or the caller ended it
-    UNSENT = "unsent"  # the caller never started the attempt
+    UNSENT = "unsent"  # the caller never started the attempt, or wrote nothing of it
 
 
 # Outcomes that prove that the request never ran.
@@ -278,11 +279,16 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt at a backend; after ``timeout`` it ends with ``Outcome.TIMEOUT``."""
+    """Start an attempt at a backend; after ``timeout`` it ends with ``Outcome.TIMEOUT``.
+
+    The caller compares ``send_before`` with its clock immediately before it writes the request.  From that
+    time on it writes nothing, and the attempt ends with ``Outcome.UNSENT``.
+    """
 
     request: int
     backend: int
     timeout: float
+    send_before: float = math.inf
 
 
 @dataclass(slots=True)
--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -134,6 +134,10 @@
 # age that a reported load may already have when the answer arrives.
 PROBE_FRESH_MS = 1000.0
 
+# Longest time for which this process may be suspended between a reading of its clock and the write that the
+# reading allows.
+MAX_STALL_MS = 150.0
+
 # Time over which the clients of a leaving backend are moved.
 LEAVING_MOVE_MS = 2000.0
 
@@ -677,11 +681,27 @@
             None,
         )
 
+    def _repeat_before(self, flow: Flow) -> float:
+        """Return the time before which the clock must be when a repeat of the request is written.
+
+        The deduplication window of each attempt that may have run has to outlast a stall of this process
+        between that reading of the clock and the write.
+        """
+        if flow.request_class.effect is not interface.Effect.KEYED:
+            return math.inf
+        return min(
+            (
+                sent_at + flow.request_class.deduplication_window - MAX_STALL_MS
+                for _, sent_at in flow.possible_executions
+            ),
+            default=math.inf,
+        )
+
     def _may_repeat(self, flow: Flow, backend: Backend) -> bool:
         """Return whether an attempt at the backend cannot take effect a second time.
 
         After an attempt that may have run, a repeat must be safe, or must arrive in time at a backend that
-        recognises its idempotency key and drops it.
+        recognises its idempotency key and drops it.  ``Send.send_before`` covers a connect that takes longer.
         """
         request_class, scope_attribute = (
             flow.request_class,
@@ -696,15 +716,13 @@
             or request_class.effect is interface.Effect.SAFE
             or (
                 request_class.effect is interface.Effect.KEYED
+                and self.now + max(0.0, self.settings.connect_timeout + self.settings.tick - MAX_STALL_MS)
+                < self._repeat_before(flow)
                 and all(
-                    self.now + self.settings.connect_timeout + self.settings.tick
-                    < sent_at + request_class.deduplication_window
-                    and (
-                        not scope_attribute
-                        or getattr(first_backend.entry, scope_attribute)
-                        == getattr(backend.entry, scope_attribute)
-                    )
-                    for first_backend, sent_at in flow.possible_executions
+                    not scope_attribute
+                    or getattr(first_backend.entry, scope_attribute)
+                    == getattr(backend.entry, scope_attribute)
+                    for first_backend, _ in flow.possible_executions
                 )
             )
         )
@@ -859,7 +877,7 @@
         )
         backend.flows[flow.id] = flow
         self.recently_used[backend.id] = backend
-        self.pending_actions.append(interface.Send(flow.id, backend.id, timeout))
+        self.pending_actions.append(interface.Send(flow.id, backend.id, timeout, self._repeat_before(flow)))
         return True
 
     def _refusal_margin(self, flow: Flow) -> float:
@@ -873,7 +891,8 @@
         """Give the final answer: refused if a repeat by the client is harmless, else failed.
 
         A refusal promises that the client may repeat the request.  That does not hold where an attempt may
-        have run and the repeat could take effect a second time.
+        have run and the repeat could take effect a second time.  The promise has to hold also if a stall of
+        this process delays the answer.
         """
         self.flows.pop(flow.id, None)
         # 1.5 is the largest jitter factor, so that ``retry_after`` is never above ``max_retry_after``.
@@ -886,11 +905,8 @@
             or request_class.effect is interface.Effect.SAFE
             or (
                 request_class.effect is interface.Effect.KEYED
-                and all(
-                    request_class.deduplication_scope is interface.DeduplicationScope.ALL
-                    and self.now + retry_after < sent_at + request_class.deduplication_window
-                    for _, sent_at in flow.possible_executions
-                )
+                and request_class.deduplication_scope is interface.DeduplicationScope.ALL
+                and self.now + retry_after < self._repeat_before(flow)
             )
         )
         self.pending_actions.append(
--- a/snowwick/net/decider.py
+++ b/snowwick/net/decider.py
@@ -125,10 +125,14 @@
 
 @dataclass(slots=True)
 class RouteStep:
-    """Sent to the client's side: try this destination for at most ``timeout_ms``."""
+    """Sent to the client's side: try this destination for at most ``timeout_ms``.
+
+    From ``send_before`` on, in seconds on the loop's clock, the opening line may no longer be written.
+    """
 
     destination: int
     timeout_ms: float
+    send_before: float = math.inf
 
 
 @dataclass(slots=True)
@@ -267,6 +271,11 @@
             self._forget(number)
         return interface.ClientLeft(number)
 
+    def _loop_time(self, time_ms: float) -> float:
+        """Convert a time in ms on the module's clock to seconds on the loop's clock."""
+        loop_now = self.loop.clock()  # read first: a stall between the two readings makes the result earlier
+        return loop_now + (time_ms - self.now_ms()) / 1000.0
+
     def update_tenants(self, settings: interface.Settings) -> None:
         """Replace the tenants; the module derives capacity from their quotas with the next list update."""
         self.balancer.settings = settings
@@ -340,7 +349,7 @@
         if isinstance(action, interface.Send):
             self.attempt_counts[action.request] += 1
             self.active_steps[action.request] = action.backend
-            client.post(RouteStep(action.backend, action.timeout))
+            client.post(RouteStep(action.backend, action.timeout, self._loop_time(action.send_before)))
         elif isinstance(action, interface.Move):
             client.post(MoveAway("moved"))
         else:
--- a/snowwick/net/destination.py
+++ b/snowwick/net/destination.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 from collections.abc import Generator
 from dataclasses import dataclass
@@ -52,6 +53,7 @@
         wait_s: float,
         connect_timeout_s: float,
         delay_monitor: Gauge,
+        send_before: float = math.inf,
     ) -> None:
         super().__init__(loop, configure_socket(socket.socket(socket.AF_INET, socket.SOCK_STREAM)))
         self.front = front
@@ -63,7 +65,8 @@
         self.timing = ConnectionTiming(front, destination_number, DestinationTiming())
         self.started_at = loop.clock()
         self.answer_deadline = self.started_at + wait_s
-        self.connect_deadline = min(self.answer_deadline, self.started_at + connect_timeout_s)
+        self.send_before = send_before
+        self.connect_deadline = min(self.answer_deadline, self.started_at + connect_timeout_s, send_before)
         self.last_reply_kind = Reply.OTHER  # kind of the last line from the destination
         # end_reported: the front has been sent the end of this connection
         # cancelled_by_client: the client closed or sent input before the opening line was written
@@ -107,7 +110,8 @@
         if self.mailbox:
             return Outcome.CANCELLED
         if self.output_buffer:
-            return Outcome.UNSENT if self.cancelled_by_client else Outcome.CONNECT_FAILED
+            too_late = self.loop.clock() >= self.send_before
+            return Outcome.UNSENT if self.cancelled_by_client or too_late else Outcome.CONNECT_FAILED
         while True:
             wake_flags = yield Wait(self.sock, read=True, until=self.answer_deadline)
             if self.mailbox:
@@ -131,7 +135,11 @@
                 return Outcome.TIMEOUT
 
     def _send_opening(self) -> Coroutine:
-        """Connect and write the opening line; on a timeout part of it remains in the output buffer."""
+        """Connect and write the opening line; on a timeout part of it remains in the output buffer.
+
+        The time is compared with ``send_before`` just before each write, since the connect may take long and
+        this process may have been suspended since it was decided.
+        """
         self.output_buffer += self.opening
         if not (yield from connect(self, self.sock, self.address, self.connect_deadline)):
             return
@@ -139,12 +147,13 @@
         self.cancelled_by_client = self.front.has_unread_input()
         if self.cancelled_by_client:
             return
-        self._write()
-        while self.output_buffer and not self.mailbox:
-            wake_flags = yield Wait(self.sock, write=True, until=self.answer_deadline)
-            if wake_flags & TIMED_OUT:
-                return
+        write_deadline = min(self.answer_deadline, self.send_before)
+        while self.output_buffer and not self.mailbox and self.loop.clock() < self.send_before:
             self._write()
+            if self.output_buffer:
+                wake_flags = yield Wait(self.sock, write=True, until=write_deadline)
+                if wake_flags & TIMED_OUT:
+                    return
 
     def _write(self) -> None:
         """Write what the socket accepts.
--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Generator
 from typing import Protocol
@@ -240,7 +241,9 @@
                 if isinstance(message, RouteStep):
                     remaining_ms = remaining_wait_ms(self)
                     self._start_route_step(
-                        message.destination, min(message.timeout_ms or remaining_ms, remaining_ms)
+                        message.destination,
+                        min(message.timeout_ms or remaining_ms, remaining_ms),
+                        message.send_before,
                     )
                 elif isinstance(message, ConnectionEstablished):
                     self._establish(message)
@@ -275,10 +278,11 @@
             # turn, and the message about it is not delivered yet.
             deadline_passed = bool(wake_flags & TIMED_OUT)
 
-    def _start_route_step(self, destination: int, wait_ms: float) -> None:
+    def _start_route_step(self, destination: int, wait_ms: float, send_before: float = math.inf) -> None:
         """Try to set up the connection at a destination, which may take ``wait_ms``.
 
-        If that cannot start, this side posts the end of the route step to itself.
+        The opening line is written before ``send_before`` (see ``RouteStep``) or not at all. If the route
+        step cannot start, this side posts its end to itself.
         """
         assert self.request is not None
         self.last_destination = destination
@@ -296,6 +300,7 @@
                 wait_ms / 1000.0,
                 self.host.connect_timeout_s,
                 self.host.delay_monitor,
+                send_before,
             )
         except OSError as error:
             # No descriptor is left for the route step; the client must still be answered.
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
 from harness import FINAL_ACTIONS, SAFE_CLASS, BalancerHarness
 
 from crowgap import interface
+from crowgap.policy import MAX_STALL_MS
 
 KEYED_CLASS = replace(SAFE_CLASS, effect=interface.Effect.KEYED, deduplication_window=1000.0)
 CONNECT_TIMEOUT_MS = 250.0  # a repeat is sent only once its connection is open
@@ -82,3 +84,42 @@
     send = first_attempt(harness)
     harness.run_until(harness.now + 50.0)
     assert [action for action in harness.end_attempt(send, outcome) if isinstance(action, interface.Send)]
+
+
+@pytest.mark.parametrize("elapsed_ms,repeated", [(840.0, True), (851.0, False), (920.0, False)])
+def test_no_repeat_that_a_stall_of_the_process_may_delay_beyond_the_deduplication_window(
+    elapsed_ms: float, repeated: bool
+) -> None:
+    """Guards against repeats after their window where the connect timeout is shorter than a stall.
+
+    The caller gets the time before which it must write, MAX_STALL_MS before the end of the window.
+    """
+    harness = BalancerHarness(classes=(replace(KEYED_CLASS, deadline=3000.0),), connect_timeout=75.0)
+    sent_at = harness.now
+    send = first_attempt(harness)
+    assert send.send_before == math.inf
+    harness.run_until(sent_at + elapsed_ms)
+    repeats = [
+        action
+        for action in harness.end_attempt(send, interface.Outcome.RESET)
+        if isinstance(action, interface.Send)
+    ]
+    assert [repeat.send_before for repeat in repeats] == ([sent_at + 850.0] if repeated else [])
+
+
+def test_no_refusal_whose_wait_may_outlast_the_deduplication_window_after_a_stall() -> None:
+    """Guards against a promise that a stall before the answer is written makes untrue."""
+    final_types = set()
+    for seed in range(40):
+        harness = BalancerHarness(seed, classes=(KEYED_CLASS,), max_retry_after=600.0, max_attempts=1)
+        sent_at, send = harness.now, first_attempt(harness)
+        harness.run_until(sent_at + 500.0)
+        (final,) = [
+            action
+            for action in harness.end_attempt(send, interface.Outcome.RESET)
+            if isinstance(action, FINAL_ACTIONS)
+        ]
+        final_types.add(type(final))
+        if isinstance(final, interface.Refuse):
+            assert harness.now + final.retry_after + MAX_STALL_MS < sent_at + KEYED_CLASS.deduplication_window
+    assert final_types == set(FINAL_ACTIONS)
