Answer a request at once when it may not be repeated any more

What callers saw: a request whose attempt was reset, timed out or failed, and which may not be repeated (no key, or its window is over), got its ERR only near its deadline.

Cause: Balancer._on_ended looked at the number of attempts and the deadline only, and otherwise put the flow into the waiting buffer. _may_repeat then turned every backend away, and _drain_buffer refused at the deadline's margin. Ruled out: the throttle (off, and a flow with a token waited as well) and the front, which sends the answer in the turn in which it gets it.

Change: _repeat_before is infinite for a request that may always be repeated and minus infinite for one that never may; _give_up_at is the earlier of it and the deadline's margin, and stands where the deadline's margin stood alone (end of an attempt, buffer, its timer, probes). A flow that waits for a backend is answered when its window closes.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -685,45 +685,52 @@
         """Return the time before which the clock must be when a repeat of the request is written.
 
         The deduplication window of each attempt that may have run has to outlast a stall of this process
-        between that reading of the clock and the write.
+        between that reading of the clock and the write.  A request whose repeat is never safe has no time
+        left.
         """
-        if flow.request_class.effect is not interface.Effect.KEYED:
+        request_class = flow.request_class
+        if request_class.effect is interface.Effect.SAFE or not flow.possible_executions:
             return math.inf
+        if request_class.effect is interface.Effect.UNSAFE:
+            return -math.inf
         return min(
-            (
-                sent_at + flow.request_class.deduplication_window - MAX_STALL_MS
-                for _, sent_at in flow.possible_executions
-            ),
-            default=math.inf,
+            sent_at + request_class.deduplication_window - MAX_STALL_MS
+            for _, sent_at in flow.possible_executions
         )
 
+    def _last_start(self, flow: Flow) -> float:
+        """Return the time before which the next attempt must start; ``Send.send_before`` covers the rest.
+
+        A connect is allowed its whole timeout, of which a stall takes no part.
+        """
+        return self._repeat_before(flow) - max(
+            0.0, self.settings.connect_timeout + self.settings.tick - MAX_STALL_MS
+        )
+
+    def _give_up_at(self, flow: Flow) -> float:
+        """Return when a flow gets its final answer if no attempt has started by then."""
+        return min(flow.deadline - self._refusal_margin(flow), self._last_start(flow))
+
     def _may_repeat(self, flow: Flow, backend: Backend) -> bool:
         """Return whether an attempt at the backend cannot take effect a second time.
 
         After an attempt that may have run, a repeat must be safe, or must arrive in time at a backend that
-        recognises its idempotency key and drops it.  ``Send.send_before`` covers a connect that takes longer.
+        recognises its idempotency key and drops it.
         """
-        request_class, scope_attribute = (
-            flow.request_class,
-            {
-                interface.DeduplicationScope.ALL: "",
-                interface.DeduplicationScope.ZONE: "zone",
-                interface.DeduplicationScope.CELL: "cell",
-            }[flow.request_class.deduplication_scope],
-        )
+        if self.now >= self._last_start(flow):
+            return False
+        request_class = flow.request_class
+        scope_attribute = {
+            interface.DeduplicationScope.ALL: "",
+            interface.DeduplicationScope.ZONE: "zone",
+            interface.DeduplicationScope.CELL: "cell",
+        }[request_class.deduplication_scope]
         return (
-            not flow.possible_executions
-            or request_class.effect is interface.Effect.SAFE
-            or (
-                request_class.effect is interface.Effect.KEYED
-                and self.now + max(0.0, self.settings.connect_timeout + self.settings.tick - MAX_STALL_MS)
-                < self._repeat_before(flow)
-                and all(
-                    not scope_attribute
-                    or getattr(first_backend.entry, scope_attribute)
-                    == getattr(backend.entry, scope_attribute)
-                    for first_backend, _ in flow.possible_executions
-                )
+            request_class.effect is not interface.Effect.KEYED
+            or not scope_attribute
+            or all(
+                getattr(first_backend.entry, scope_attribute) == getattr(backend.entry, scope_attribute)
+                for first_backend, _ in flow.possible_executions
             )
         )
 
@@ -784,7 +791,7 @@
         if (
             self.settings.probes_allowed
             and flow.probe_rounds < MAX_PROBE_ROUNDS
-            and self.now + wait < flow.deadline - self._refusal_margin(flow)
+            and self.now + wait < self._give_up_at(flow)
         ):
             candidates = [
                 backend
@@ -896,18 +903,15 @@
         """
         self.flows.pop(flow.id, None)
         # 1.5 is the largest jitter factor, so that ``retry_after`` is never above ``max_retry_after``.
-        request_class, retry_after = (
-            flow.request_class,
-            self.settings.max_retry_after * self._jitter_factor() / 1.5,
-        )
-        repeat_is_harmless = (
+        retry_after = self.settings.max_retry_after * self._jitter_factor() / 1.5
+        request_class = flow.request_class
+        client_may_reach_any_backend = (
             not flow.possible_executions
-            or request_class.effect is interface.Effect.SAFE
-            or (
-                request_class.effect is interface.Effect.KEYED
-                and request_class.deduplication_scope is interface.DeduplicationScope.ALL
-                and self.now + retry_after < self._repeat_before(flow)
-            )
+            or request_class.effect is not interface.Effect.KEYED
+            or request_class.deduplication_scope is interface.DeduplicationScope.ALL
+        )
+        repeat_is_harmless = client_may_reach_any_backend and self.now + retry_after < self._repeat_before(
+            flow
         )
         self.pending_actions.append(
             interface.Refuse(flow.id, retry_after) if repeat_is_harmless else interface.Fail(flow.id)
@@ -1081,7 +1085,7 @@
         if (
             flow.attempt_count >= self.settings.max_attempts
             or event.outcome is interface.Outcome.UNSENT
-            or self.now >= flow.deadline - self._refusal_margin(flow)
+            or self.now >= self._give_up_at(flow)
         ):
             self._refuse_or_fail(flow)
         elif event.outcome is not interface.Outcome.CONNECT_FAILED or not self._start_attempt(flow):
@@ -1142,7 +1146,7 @@
             return
         if throttle.active and throttle.refill_rate > 0:
             wait = min(wait, max(0.0, 1.0 - throttle.tokens) / throttle.refill_rate)
-        next_refusal = min(flow.deadline - self._refusal_margin(flow) for flow in throttle.waiting)
+        next_refusal = min(self._give_up_at(flow) for flow in throttle.waiting)
         wait = max(min(wait, next_refusal - self.now), self.settings.tick)
         if self.now + wait < self.buffer_check_at:
             self.buffer_check_at = self.now + wait
@@ -1151,15 +1155,15 @@
     def _drain_buffer(self) -> None:
         """Start the waiting flows for which there are a token and an eligible backend.
 
-        Flows close to their deadline are refused, and so are the last ones where the buffer has become
-        smaller than the number of waiting flows.
+        Flows that no attempt can serve in time any more get their final answer, and so do the last ones where
+        the buffer has become smaller than the number of waiting flows.
         """
         # Times are rounded to microseconds, so a timer may seem early, by less than these 0.01 ms.
         if self.now >= self.buffer_check_at - 0.01:
             self.buffer_check_at = math.inf
         throttle, still_waiting = self.throttle, list[Flow]()
         for flow in throttle.waiting:
-            if self.now >= flow.deadline - self._refusal_margin(flow):
+            if self.now >= self._give_up_at(flow):
                 self._refuse_or_fail(flow)
             elif not throttle.take_token(self.now):
                 still_waiting.append(flow)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -123,3 +123,43 @@
         if isinstance(final, interface.Refuse):
             assert harness.now + final.retry_after + MAX_STALL_MS < sent_at + KEYED_CLASS.deduplication_window
     assert final_types == set(FINAL_ACTIONS)
+
+
+@pytest.mark.parametrize(
+    "effect,elapsed_ms",
+    [
+        (interface.Effect.UNSAFE, 50.0),
+        (interface.Effect.KEYED, 900.0),
+        (interface.Effect.KEYED, 3000.0),
+    ],
+)
+def test_request_that_may_not_be_repeated_any_more_is_answered_at_once(
+    effect: interface.Effect, elapsed_ms: float
+) -> None:
+    """Guards against an answer that is kept back until the deadline although nothing more can be sent."""
+    harness = BalancerHarness(classes=(replace(KEYED_CLASS, effect=effect, deadline=9000.0),))
+    (send,) = [
+        action for action in harness.send_request(1, patience=9000.0) if isinstance(action, interface.Send)
+    ]
+    harness.run_until(harness.now + elapsed_ms)
+    actions = harness.end_attempt(send, interface.Outcome.RESET)
+    assert [action for action in actions if isinstance(action, FINAL_ACTIONS)] == [interface.Fail(1)]
+
+
+def test_waiting_request_is_answered_when_its_deduplication_window_closes() -> None:
+    """Guards against a request that waits for a backend until its deadline, long after its window."""
+    harness = BalancerHarness(
+        backends=1, classes=(replace(KEYED_CLASS, deadline=9000.0),), connect_timeout=250.0, tick=1.0
+    )
+    sent_at = harness.now
+    (send,) = [
+        action for action in harness.send_request(1, patience=9000.0) if isinstance(action, interface.Send)
+    ]
+    harness.run_until(sent_at + 100.0)
+    harness.end_attempt(send, interface.Outcome.RESET)
+    harness.run_until(sent_at + 3000.0)
+    ((answered_at, answer),) = [
+        (time, action) for time, action in harness.actions if isinstance(action, FINAL_ACTIONS)
+    ]
+    assert answer == interface.Fail(1)
+    assert answered_at == pytest.approx(sent_at + 1000.0 - 250.0 - 1.0, abs=2.0)
--- a/tests/test_repeats_net.py
+++ b/tests/test_repeats_net.py
@@ -62,7 +62,6 @@
     if world.received.get("d2"):
         assert 1000.0 * (world.clock.now - sent_at) < WINDOW_MS
     else:
-        world.wait(1200.0)
         world.play("c1 expect ERR\nc1 end")
     world.close()
 
