Answer a client whose opening line has begun when it is evicted or at shutdown

Cause: on ShutdownEnding, sent from 0.25 s before the end on, and on EvictIdle, Front._read_opening called _send_answer(b"") whatever the input buffer held; the rest of the line was then read and discarded. Ruled out: the listen queue and the acceptor (the first pieces had been read) and the capacity stage (earlier lines got BUSY).

Change: a begun line is answered BUSY, which is true as nothing of it was forwarded. At a shutdown that waits until 0.1 s before the end (ShutdownEnding.last), since the line may be completed until then; drain repeats the message once after its loop, for a process that was held up across the last steps. Looked at: the 2 s for an opening line (ERR, as before), half lines of a server (relayed at its end), MOVE (between whole lines).

Without the change the test of the eviction and 7 of the 13 of the shutdown fail (the other 6 complete their line in time), with it all pass.

--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -5,6 +5,7 @@
 import math
 import socket
 from collections.abc import Generator
+from dataclasses import dataclass
 from typing import Protocol
 
 from snowwick.net import lines
@@ -40,12 +41,16 @@
     """To a front without a request: close, because descriptors are running out."""
 
 
+@dataclass(slots=True)
 class ShutdownEnding:
     """To a front: the last phase of the shutdown has begun (see service.py).
 
-    A pending request is answered, an established connection is moved, and an idle front socket is closed.
+    A pending request is answered, an established connection is moved, and an idle front socket is closed. A
+    client whose opening line has begun may still complete it until ``last`` is set; then it is answered too.
     """
 
+    last: bool = False
+
 
 class FrontHost(Protocol):
     """What a front needs from the service that owns it."""
@@ -168,7 +173,8 @@
         """Read the opening line; returns None, with ``reason`` set, if the connection ends without a request.
 
         The reason is "ping" if the client has sent a PING, "left" if it closed right after its opening
-        line, "draining" or "made-room" if this side closes, and else "no-opening".
+        line, "draining" or "made-room" if this side closes, and else "no-opening". A client whose line has
+        begun is always answered.
         """
         deadline = self.accepted_at + OPENING_TIMEOUT_S
         self.reason = "no-opening"
@@ -177,9 +183,10 @@
             wake_flags = yield Wait(
                 self.sock, read=not self.output_full(), write=bool(self.output_buffer), until=deadline
             )
-            end_reason = ""
+            end_reason, may_complete_line = "", False
             for message in self.take_messages():  # without a request only ShutdownEnding and EvictIdle come
                 end_reason = "draining" if isinstance(message, ShutdownEnding) else "made-room"
+                may_complete_line = isinstance(message, ShutdownEnding) and not message.last
             # Read the socket even when closing: a request that has already arrived must be answered.
             still_open = self.receive() if wake_flags & (READABLE | TIMED_OUT) or end_reason else True
             while (line := lines.take_line(self.input_buffer)) is not None:
@@ -200,13 +207,19 @@
                     self.reason = "left"
                     return None
             self.flush()
-            if wake_flags & TIMED_OUT and self.input_buffer:
+            line_begun = bool(self.input_buffer)
+            if wake_flags & TIMED_OUT and line_begun:
                 raise lines.MalformedLine("no complete line before the timeout")
             if not still_open or self.write_failed:
                 return None
+            if line_begun and may_complete_line:
+                continue
             if end_reason or wake_flags & TIMED_OUT:
                 self.reason = end_reason or self.reason
-                yield from self._send_answer(b"")
+                # Nothing of a begun line was forwarded, and its client may still write the rest of it.
+                yield from self._send_answer(
+                    lines.busy_line(self.host.retry_after_ms()) if line_begun else b""
+                )
                 return None
 
     def _start_request(self, request: Request) -> None:
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -6,7 +6,8 @@
 The shutdown has three phases. During the arrival period new connections are still routed here and get busy
 replies. Then clients with an established connection are moved, in random order. In the last
 ``FINAL_ANSWER_S`` each front has to finish: pending requests are answered, clients that are not moved yet are
-moved at once, and idle ones are closed.
+moved at once, and idle ones are closed. Clients whose opening line is incomplete are answered just before the
+end, as they may complete it until then.
 """
 
 from __future__ import annotations
@@ -62,6 +63,10 @@
 MAX_DRAIN_DEADLINE_S = 3.0  # the shutdown waits for the longest request deadline, but at most this long
 SHUTDOWN_GRACE_S = 0.4  # the shutdown may take this long beyond that deadline
 FINAL_ANSWER_S = 0.25  # length of the last phase of the shutdown
+# Within this time before the end, clients whose opening line is still incomplete are answered
+INCOMPLETE_LINE_ANSWER_S = 0.1
+# Time after the last answers in which the fronts write them
+LAST_WRITE_S = 0.005
 # Each time limit of the wire protocol may be off by this much, so a connection may still arrive this long
 # after the arrival period
 PROTOCOL_TOLERANCE_S = 0.05
@@ -415,11 +420,18 @@
                 for front in self.random.sample(remaining, math.ceil(len(remaining) / turns)):
                     front.post(MoveAway("draining"))
             if self.loop.clock() >= end_at - FINAL_ANSWER_S:
-                for front in self.fronts:
-                    front.post(ShutdownEnding())  # repeated in each step; a front that is closing ignores it
+                self._end_fronts(last=self.loop.clock() >= end_at - INCOMPLETE_LINE_ANSWER_S)
             if move_elapsed_s > PROTOCOL_TOLERANCE_S and not self.fronts and not self.accept_pending():
-                break
+                return
             yield Wait(until=min(end_at, self.loop.clock() + ACCEPT_PAUSE_S))
+        # A stall of the process may have left out the last steps.
+        self._end_fronts(last=True)
+        yield Wait(until=self.loop.clock() + LAST_WRITE_S)
+
+    def _end_fronts(self, last: bool) -> None:
+        """Tell all fronts that the shutdown ends; a front that is closing ignores it."""
+        for front in self.fronts:
+            front.post(ShutdownEnding(last))
 
     def accept_pending(self) -> bool:
         """Accept the connections that are waiting in the listen queue; return whether there were any."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -18,7 +18,7 @@
 from snowwick.net.front import EvictIdle, Front, ShutdownEnding
 from snowwick.net.loop import Actor, Coroutine
 from snowwick.net.pool_config import destination_number
-from snowwick.net.service import Service
+from snowwick.net.service import SHUTDOWN_GRACE_S, Service
 
 OPEN = "OPEN 1 k1 d=1200,c=feed,t=n,g=g1"
 UP = f"c1 send {OPEN}\nd1 expect OPEN 1 *\nd1 send UP r1\nc1 expect UP r1\n"
@@ -100,6 +100,15 @@
     assert not world.destination_connections
 
 
+def test_client_that_is_evicted_within_its_opening_line_is_answered(world: World) -> None:
+    """Guards against an orderly end without an answer when descriptors run out; the rest may still come."""
+    world.play("c1 part OPEN 1 k1 d=1200,c=fe\nc1 quiet")
+    front_of(world).post(EvictIdle())
+    world.play("c1 expect BUSY *\nc1 send ed,t=n\nc1 end\nc1 close")
+    assert_nothing_left(world)
+    assert not world.destination_connections
+
+
 def test_idle_connections_of_a_flood_release_their_descriptors() -> None:
     """Connections that the balancer has ended but the client does not close must not use up descriptors."""
     world = World(limits={"sockets": 64})
@@ -455,6 +464,40 @@
     assert not world.destination_connections
 
 
+@pytest.mark.parametrize("deadline", [100.0, 600.0, 1200.0])
+@pytest.mark.parametrize("completed_before_end_s", [0.3, 0.2, 0.12, None])
+def test_opening_line_in_pieces_is_answered_before_shutdown(
+    deadline: float, completed_before_end_s: float | None
+) -> None:
+    """Guards against an orderly end without an answer for a client that is still writing its line."""
+    classes = [{"name": "feed", "aim": 50.0, "deadline": deadline, "effect": "read_like"}]
+    world = World(settings={**SETTINGS, "classes": classes})
+    end_at = world.clock.now + deadline / 1000.0 + SHUTDOWN_GRACE_S
+    shutdown = Shutdown(world.service)
+    world.play("c1 part OPEN 1 k1 d=100,c=fe")
+    if completed_before_end_s is not None:
+        advance_until(world, lambda: world.clock.now >= end_at - completed_before_end_s - 0.001, 3.0)
+        world.play("c1 quiet\nc1 send ed,t=n")
+        world.run_turns()
+        assert b"BUSY" in world.received["c1"]  # at once
+    advance_until(world, lambda: shutdown.finished, 3.0)
+    world.play("c1 expect BUSY *\nc1 end")
+    assert not world.destination_connections
+    assert world.clock.now <= end_at + 0.1
+    world.close()
+
+
+def test_opening_line_in_pieces_is_answered_after_a_stall_across_the_end_of_shutdown(world: World) -> None:
+    """Guards against a process that is held up in the last steps of its shutdown and then only exits."""
+    shutdown = Shutdown(world.service)
+    world.play("c1 part OPEN 1 k1 d=100,c=fe")
+    advance_until(world, lambda: world.clock.now >= 1001.49, 3.0)
+    world.play("c1 quiet")
+    world.clock.now += 0.15
+    advance_until(world, lambda: shutdown.finished, 0.1)
+    world.play("c1 expect BUSY *\nc1 end")
+
+
 @pytest.mark.parametrize("may_have_run,answer", [(False, "BUSY *"), (True, "ERR")])
 def test_pending_request_is_answered_at_shutdown(
     monkeypatch: pytest.MonkeyPatch, may_have_run: bool, answer: str
