Evict silent clients before one whose opening line has begun

Change: Service.make_room evicts clients whose line has begun only where no other client can be evicted.

Ruled out as harm: a crowd that begins lines and stops is evicted as before, oldest first, with BUSY.

Measured: the new test (64 descriptors, 118 silent clients) fails without the change and passes with it; tests/test_endings.py and tests/test_net.py pass.

--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -120,6 +120,11 @@
             self.loop.clock()
         )
 
+    @property
+    def opening_begun(self) -> bool:
+        """Whether the client has sent a part of its opening line."""
+        return self.request is None and bool(self.input_buffer)
+
     def run(self) -> Coroutine:
         try:
             yield from self._serve()
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -20,7 +20,6 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import fields, replace
-from itertools import islice
 from typing import TYPE_CHECKING
 from zlib import crc32
 
@@ -488,7 +487,8 @@
 
         This protects against floods of clients that connect and send nothing. Idle clients may hold at most
         half of the sockets that requests do not use, since each request, which normal clients send at once,
-        needs a second socket for its route step. The sockets of the idle clients count as free here.
+        needs a second socket for its route step. The sockets of the idle clients count as free here. Clients
+        whose opening line has begun are evicted only where no other client can be.
         """
         free_sockets = self.socket_limit - (self.loop.open_sockets - len(self.idle))
         if (
@@ -496,9 +496,11 @@
             and self.loop.open_sockets < self.socket_limit
         ):
             return True
-        for front in islice(self.idle, ACCEPTS_PER_TURN):
-            if self.loop.clock() - front.accepted_at >= MIN_IDLE_S:
-                front.post(EvictIdle())
+        accepted_before = self.loop.clock() - MIN_IDLE_S
+        evictable = [front for front in self.idle if front.accepted_at <= accepted_before]
+        silent = [front for front in evictable if not front.opening_begun]
+        for front in (silent or evictable)[:ACCEPTS_PER_TURN]:
+            front.post(EvictIdle())
         return False
 
     def retry_after_ms(self) -> float:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -109,6 +109,19 @@
     assert not world.destination_connections
 
 
+def test_silent_clients_are_evicted_before_one_whose_opening_line_has_begun() -> None:
+    """Guards against a flood of silent clients that takes the place of a client which is writing its line."""
+    world = World(limits={"sockets": 64})
+    world.play("c1 part OPEN 1 k1 d=1200,c=fe\nc1 quiet\nwait 60")
+    for number in range(2, 120):
+        world.part(f"c{number}", "")
+        world.clock.now += 0.005
+        world.run_turn()
+    world.play("wait 60\nc1 quiet\nc1 send ed,t=n\nd1 expect OPEN 1 *\nd1 send UP r1\nc1 expect UP r1")
+    assert len(world.closed) > 60  # evicted
+    world.close()
+
+
 def test_idle_connections_of_a_flood_release_their_descriptors() -> None:
     """Connections that the balancer has ended but the client does not close must not use up descriptors."""
     world = World(limits={"sockets": 64})
