Hold less for a connection whose other side does not read

Cause: each direction held up to 16 KiB of unsent output, a read of 16 KiB on top and a begun line, and up to 1,024 times of unanswered lines. Ruled out: the number of connections itself (25.9 MB), begun lines (29.5 MB with 4,000 bytes begun in both directions), the log, and the kernel's buffers, which are not the process's.

Change: one read is a line's most (READ_SIZE_BYTES 4096), the other side is read on below 1 KiB of unsent output (HIGH_WATER_BYTES), and 128 unanswered lines are timed (MAX_PENDING_LINES); the kernel's buffers carry the bulk. net/pool.py keeps its reads of 16 KiB in a constant of its own.

test_move_behind_a_full_buffer_is_written_within_a_second had the old high-water mark as a number and waited for it without end; it now fills the buffer until output_full, the state that its name says.

--- a/snowwick/net/delay_monitor.py
+++ b/snowwick/net/delay_monitor.py
@@ -21,7 +21,7 @@
 # A destination is silent after this time without an answer while several connections wait for one
 SILENCE_S = 0.5
 SILENCE_SINGLE_S = 1.5  # the same while only one connection waits
-MAX_PENDING_LINES = 1024  # at most this many unanswered lines of one connection are timed
+MAX_PENDING_LINES = 128  # at most this many unanswered lines of one connection are timed
 
 
 class DestinationTiming:
--- a/snowwick/net/peer.py
+++ b/snowwick/net/peer.py
@@ -11,8 +11,8 @@
 from snowwick.net import lines
 from snowwick.net.loop import MAIL, READABLE, TIMED_OUT, WRITABLE, Actor, Coroutine, Loop, Wait
 
-READ_SIZE_BYTES = 16384
-HIGH_WATER_BYTES = 16384  # with this much unsent output on one side, the other side is not read
+READ_SIZE_BYTES = 4096  # a whole line of the protocol
+HIGH_WATER_BYTES = 1024  # with this much unsent output on one side, the other side is not read
 CLOSE_GRACE_S = 0.5  # one side may stay open this long after the other has ended; the protocol allows 1 s
 # Extra time before closing while the last lines are unsent; with CLOSE_GRACE_S still within the allowed 1 s
 UNSENT_GRACE_S = 0.4
--- a/snowwick/net/pool.py
+++ b/snowwick/net/pool.py
@@ -13,7 +13,7 @@
 
 from crowgap import interface
 from snowwick.net.loop import READABLE, TIMED_OUT, WRITABLE, Actor, Coroutine, Loop, Wait
-from snowwick.net.peer import READ_SIZE_BYTES, configure_socket
+from snowwick.net.peer import configure_socket
 from snowwick.net.pool_config import CallFailed, PoolConfig, destination_number, version_of
 
 # Time after which the protocol assumes that the balancer has a change of discovery's list, whether it arrived
@@ -38,6 +38,9 @@
 MAX_BODY_BYTES = 1 << 20
 
 
+READ_SIZE_BYTES = 16384  # of one read; a list may have hundreds of kilobytes
+
+
 class TimedOut(CallFailed):
     """The complete answer did not arrive in time."""
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -381,7 +381,7 @@
     world.play(UP)
     front, client, server = front_of(world), world.sockets.pop("c1"), world.sockets["d1"]
     line, sent = b"M " + b"x" * 4000 + b"\r\n", 0
-    while len(front.output_buffer) < 16384:
+    while not front.output_full():
         with contextlib.suppress(BlockingIOError):
             sent += server.send(line[sent % len(line) :])
         world.loop.run_once(0.0)
