Reject an id that comes again after its request may have run

Cause: OpeningStage forgot an id when its connection ended. Ruled out: the route step of a client that has left (it is not started, and its opening line not written: tests/test_endings.py), and a client that closes after PINGs that it does not read and a request behind them.

Change: the last 4,096 ids of requests that may have run are remembered, by Request.may_have_run (set for an attempt that is out, one whose outcome does not prove the opposite, and an established connection), and rejected with ERR. Not for classes that are safe to repeat, where a second run changes nothing, and not for resumed connections. An id that was refused may come again.

Only this balancer's own connections are known; an id that comes again through another balancer is not recognised.

--- a/snowwick/config.py
+++ b/snowwick/config.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from crowgap.benchlink import load_field_index, settings_from
-from crowgap.interface import Settings
+from crowgap.interface import Effect, Settings
 from snowwick.net.pool_config import parse_address
 
 DEFAULT_SOCKETS = 1024
@@ -48,6 +48,15 @@
         """The longest time in ms that a client waits for its answer, by class."""
         return {request_class.name: request_class.deadline for request_class in self.settings.classes}
 
+    @property
+    def safe_classes(self) -> frozenset[str]:
+        """The names of the classes whose requests may be repeated at any time."""
+        return frozenset(
+            request_class.name
+            for request_class in self.settings.classes
+            if request_class.effect is Effect.SAFE
+        )
+
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read the file that GW_CONFIG names, apply the other GW_ variables and validate the result."""
--- a/snowwick/net/front.py
+++ b/snowwick/net/front.py
@@ -111,8 +111,6 @@
         # connection is established. False for resumed connections.
         # established: the destination has accepted the connection
         self.at_decider = self.established = False
-        # A destination may have executed the request: a busy reply, which promises the opposite, is ruled out
-        self.may_have_run = False
         self.last_destination = -1  # number of the last route step's destination; -1 before the first
         # Until there is a request, request_started_at is the time of accepting; answered_at is so until the
         # final answer. answer_deadline applies once there is a request.
@@ -153,6 +151,7 @@
             self.request.post(ClientLeft(self, self.destination_side is not None))
         if self.destination_side is not None:
             self.destination_side.post(PeerEnded())
+            self.request.may_have_run = True
             self._finish_route_step(Outcome.CANCELLED, 0.0, final=True)
         self.host.request_path.on_ended(self.request)
 
@@ -168,7 +167,7 @@
             yield from self._send_answer(rejection.line)
             return
         self._start_request(self.request)
-        answer = yield from self._await_answer()
+        answer = yield from self._await_answer(self.request)
         if answer is not None:
             yield from self._send_answer(answer)
         if self.established:
@@ -241,7 +240,7 @@
         else:
             self.at_decider = True
 
-    def _await_answer(self) -> Generator[Wait, int, bytes | None]:
+    def _await_answer(self, request: Request) -> Generator[Wait, int, bytes | None]:
         """Wait for the final answer, carrying out the decider's route steps.
 
         Returns the line to send, or None if the connection is established or the client has left.
@@ -268,7 +267,8 @@
                     return None
                 elif isinstance(message, ConnectionEnded):
                     self.destination_side = None
-                    self.may_have_run = self.may_have_run or message.outcome not in NOT_EXECUTED
+                    # A busy reply, which promises that nothing was executed, is ruled out from now on.
+                    request.may_have_run = request.may_have_run or message.outcome not in NOT_EXECUTED
                     if not self.at_decider:
                         # "kept": a connection that existed before this program started
                         self.reason = f"kept-{message.outcome.value}"
@@ -285,7 +285,7 @@
                 elif isinstance(message, ShutdownEnding):
                     self.reason = "draining"
                     safe_to_retry = (
-                        self.at_decider and self.destination_side is None and not self.may_have_run
+                        self.at_decider and self.destination_side is None and not request.may_have_run
                     )
                     return lines.busy_line(self.host.retry_after_ms()) if safe_to_retry else lines.ERR
             if deadline_passed:
@@ -330,7 +330,7 @@
     def _establish(self, message: ConnectionEstablished) -> None:
         """Send the destination's UP line to the client and report the connection; the relay starts next."""
         assert self.request is not None
-        self.established = True
+        self.established = self.request.may_have_run = True
         self.other_side = self.destination_side
         self.reason = "client-ended"
         self.output_buffer += message.line
--- a/snowwick/net/path.py
+++ b/snowwick/net/path.py
@@ -13,6 +13,7 @@
 from snowwick.net import lines
 from snowwick.net.decider import Client, ConnectionRequested, ConnectionResumed, Decider
 
+MAX_USED_IDS = 4096  # ids of ended requests that are remembered: 1 MB with the longest ids
 ANSWER_MARGIN_MS = 20.0  # subtracted from the client's wait, so that the answer arrives in time
 
 
@@ -32,6 +33,7 @@
     team: str = ""  # set by the contract stage, as is the lease
     lease: object | None = None
     stages_entered: int = 0  # number of stages that have accepted the request; 0 after its end
+    may_have_run: bool = False  # whether a destination may have executed it, or an attempt is still out
 
     def post(self, message: object) -> None:
         """Pass a message to the request's decider; dropped as long as no decider is assigned."""
@@ -122,11 +124,19 @@
 
 
 class OpeningStage(Stage):
-    """Rejects malformed opening lines, and ids that another open connection already uses."""
+    """Rejects malformed opening lines, and ids that another connection uses or has used.
 
-    def __init__(self, deadlines: Mapping[str, float], tenants: frozenset[str]) -> None:
-        self.deadlines, self.tenants = deadlines, tenants
+    An id is new with every connection. One that comes again after its request may have run, for example
+    because its client has left, would take effect a second time; the latest such ids are remembered, except
+    of the classes in ``safe_classes``, whose requests change nothing.
+    """
+
+    def __init__(
+        self, deadlines: Mapping[str, float], tenants: frozenset[str], safe_classes: frozenset[str]
+    ) -> None:
+        self.deadlines, self.tenants, self.safe_classes = deadlines, tenants, safe_classes
         self.open_requests: dict[str, Request] = {}
+        self.used_ids: dict[str, None] = {}  # oldest first
 
     def enter(self, request: Request) -> Rejection | None:
         try:
@@ -135,11 +145,17 @@
             return Rejection(lines.ERR, "garbled", str(error))
         if request.opening.id in self.open_requests:
             return Rejection(lines.ERR, "garbled", "id is already in use by another connection")
+        if request.opening.id in self.used_ids and not request.resumed_destination:
+            return Rejection(lines.ERR, "garbled", "id was used by an earlier connection")
         self.open_requests[request.opening.id] = request
         return None
 
     def on_ended(self, request: Request) -> None:
         del self.open_requests[request.opening.id]
+        if request.may_have_run and request.class_name not in self.safe_classes:
+            self.used_ids[request.opening.id] = None
+            if len(self.used_ids) > MAX_USED_IDS:
+                del self.used_ids[next(iter(self.used_ids))]
 
 
 class CapacityStage(Stage):
--- a/snowwick/net/service.py
+++ b/snowwick/net/service.py
@@ -177,7 +177,7 @@
             self.make_contract_stage(read_contracts()) if read_contracts is not None else None
         )
         stages = [
-            OpeningStage(config.deadlines, config.tenants),
+            OpeningStage(config.deadlines, config.tenants, config.safe_classes),
             CapacityStage(self.refusal_reason, self.retry_after_ms),
             self.contract_stage,
             DeciderStage(self.choose_decider),
