--- a/snowwick/lab/connection_load.py
+++ b/snowwick/lab/connection_load.py
@@ -171,9 +171,12 @@
     connections: int,
     destination_count: int = 1,
     program_arguments: Callable[[str], list[str]] = lambda destination: ["snowwick", "serve"],
+    effect: str = "read_like",
 ) -> ProgramUnderLoad:
     """Start ``python -m PROGRAM_ARGUMENTS`` with room for ``connections``; none is open yet.
 
+    ``effect`` is that of its only class of requests.
+
     ``program_arguments`` is called with the first destination's address.  Each program needs a ``folder`` of
     its own, in which its files are written.  Raises RuntimeError with the program's log if it does not serve.
     """
@@ -185,6 +188,7 @@
         for n, listener in enumerate(listeners[:-1])
     ]
     settings = make_settings(["n"], 600.0)
+    settings["classes"][0]["effect"] = effect
     settings["familyInfo"]["messageAim"] = [60_000.0]  # ms; held lines must not count as slow answers
     config_path.write_text(
         json.dumps(
