--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -17,6 +17,7 @@
 import socket
 import string
 import tempfile
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -170,41 +171,37 @@
 
 def echo_lines(listener: socket.socket) -> None:
     """Accept connections, answer each opening line and send back what follows; runs until it is ended."""
-    poller = select.epoll()
-    poller.register(listener, select.EPOLLIN)
-    socks: dict[int, socket.socket] = {}
+
+    def serve(sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            if sock.recv(8192).startswith(b"OPEN"):
+                sock.sendall(b"UP r\r\n")
+            while data := sock.recv(65536):
+                sock.sendall(data)
+        sock.close()
+
+    listener.setblocking(True)
     while True:
-        for fd, _ in poller.poll():
-            if fd == listener.fileno():
-                accepted = listener.accept()[0]
-                accepted.settimeout(5.0)
-                socks[accepted.fileno()] = accepted
-                poller.register(accepted, select.EPOLLIN)
-                continue
-            data = b""
-            with contextlib.suppress(OSError):
-                data = socks[fd].recv(65536)
-                socks[fd].sendall(b"UP r\r\n" if data.startswith(b"OPEN") else data)
-            if not data:
-                socks.pop(fd).close()
+        threading.Thread(target=serve, args=(listener.accept()[0],), daemon=True).start()
+
+
+def read_until_end(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while sock.recv(65536):
+            pass
 
 
 def flood_connection(address: tuple[str, int], opening: bytes, data: bytes) -> None:
-    """Send at full speed, read what comes back, and connect again when the connection ends."""
+    """Send at full speed, read what comes back meanwhile, and connect again when the connection ends."""
     while True:
         with contextlib.suppress(OSError), socket.create_connection(address, 5.0) as sock:
             sock.sendall(opening)
-            sock.setblocking(False)
-            unsent = b""
-            poller = select.poll()
-            poller.register(sock, select.POLLIN | select.POLLOUT)
-            while poller.poll(1000):
-                with contextlib.suppress(BlockingIOError):
-                    if not sock.recv(65536):
-                        break
-                unsent = unsent or data
-                with contextlib.suppress(BlockingIOError):
-                    unsent = unsent[sock.send(unsent) :]
+            if opening:
+                answer = sock.recv(100)
+                assert answer == b"UP r\r\n", f"{answer!r} instead of UP"
+            threading.Thread(target=read_until_end, args=(sock,), daemon=True).start()
+            while True:
+                sock.sendall(data)
 
 
 def connect_under_new_names(address: tuple[str, int], class_name: str, leave: bool) -> None:
