Check once a request, not once a backend, whether a repeat is still in its window

Need: made Balancer._may_repeat work out the window's end again for each ranked backend.

Change: _eligible_backends compares the time once and returns nothing when it is over; what is left to ask of a backend, whether it recognises the repeat, is _recognises_repeat and returns at once where nothing may have run. A comment on the connect timeout is put right. The decisions are the same.

--- a/crowgap/policy.py
+++ b/crowgap/policy.py
@@ -613,6 +613,8 @@
         group = flow.group
         if not self.plan_is_current:
             self._plan()
+        if self.now >= self._last_start(flow):
+            return []
         planned = [entry for entry in group.planned_split if flow.placement_hash <= entry[0] * 2**32][:1]
         return [
             backend
@@ -622,7 +624,7 @@
             if (backend := self.backends[backend_id]).ready
             and backend.avoid_until <= self.now
             and backend_id not in flow.tried_backends
-            and self._may_repeat(flow, backend)
+            and self._recognises_repeat(flow, backend)
             and self._within_cold_limit(flow, backend)
         ]
 
@@ -701,7 +703,7 @@
     def _last_start(self, flow: Flow) -> float:
         """Return the time before which the next attempt must start; ``Send.send_before`` covers the rest.
 
-        A connect is allowed its whole timeout, of which a stall takes no part.
+        The connect timeout has to fit into the deduplication window, and so has a stall; the longer counts.
         """
         return self._repeat_before(flow) - max(
             0.0, self.settings.connect_timeout + self.settings.tick - MAX_STALL_MS
@@ -711,27 +713,22 @@
         """Return when a flow gets its final answer if no attempt has started by then."""
         return min(flow.deadline - self._refusal_margin(flow), self._last_start(flow))
 
-    def _may_repeat(self, flow: Flow, backend: Backend) -> bool:
-        """Return whether an attempt at the backend cannot take effect a second time.
+    def _recognises_repeat(self, flow: Flow, backend: Backend) -> bool:
+        """Return whether the backend drops a repeat of the attempts that may have run, if it is in time.
 
-        After an attempt that may have run, a repeat must be safe, or must arrive in time at a backend that
-        recognises its idempotency key and drops it.
+        This is asked of requests with an idempotency key only; a repeat of a safe request changes nothing.
         """
-        if self.now >= self._last_start(flow):
-            return False
         request_class = flow.request_class
+        if not flow.possible_executions or request_class.effect is not interface.Effect.KEYED:
+            return True
         scope_attribute = {
             interface.DeduplicationScope.ALL: "",
             interface.DeduplicationScope.ZONE: "zone",
             interface.DeduplicationScope.CELL: "cell",
         }[request_class.deduplication_scope]
-        return (
-            request_class.effect is not interface.Effect.KEYED
-            or not scope_attribute
-            or all(
-                getattr(first_backend.entry, scope_attribute) == getattr(backend.entry, scope_attribute)
-                for first_backend, _ in flow.possible_executions
-            )
+        return not scope_attribute or all(
+            getattr(first_backend.entry, scope_attribute) == getattr(backend.entry, scope_attribute)
+            for first_backend, _ in flow.possible_executions
         )
 
     def _create_flow(self, event: interface.Request | interface.ExistingConnection, deadline: float) -> Flow:
